--- /dev/null
+++ b/Makefile
@@ -0,0 +1,55 @@
+MODULES := waxfleet waxstandin waxrouter waxctl waxload
+PACKAGES := $(MODULES:%=./%/...)
+TOOLS := $(shell go env GOPATH)/bin
+GOLANGCI_VERSION := v2.15.0
+GOFUMPT_VERSION := v0.12.0
+BUF_VERSION := v1.75.0
+PROTOC_GEN_GO_VERSION := v1.36.12
+PROTOC_GEN_CONNECT_VERSION := v1.21.1
+
+.PHONY: build test race lint format format-check generate tools tidy run fleet bench clean
+
+build:
+	@mkdir -p bin
+	go build -o bin/ ./waxrouter ./waxctl ./waxstandin ./waxload
+
+test:
+	go test -timeout 20m $(PACKAGES)
+
+race:
+	go test -race -timeout 30m $(PACKAGES)
+
+lint: tools
+	@for m in $(MODULES); do (cd $$m && $(TOOLS)/golangci-lint run ./...) || exit 1; done
+
+format: tools
+	$(TOOLS)/gofumpt -w $(MODULES)
+
+format-check: tools
+	@out=$$($(TOOLS)/gofumpt -l $(MODULES) | grep -v '\.pb\.go$$\|\.connect\.go$$' || true); \
+	if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+
+tools:
+	@test -x $(TOOLS)/golangci-lint || go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+	@test -x $(TOOLS)/gofumpt || go install mvdan.cc/gofumpt@$(GOFUMPT_VERSION)
+
+generate:
+	@test -x $(TOOLS)/buf || go install github.com/bufbuild/buf/cmd/buf@$(BUF_VERSION)
+	@test -x $(TOOLS)/protoc-gen-go || go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
+	@test -x $(TOOLS)/protoc-gen-connect-go || go install connectrpc.com/connect/cmd/protoc-gen-connect-go@$(PROTOC_GEN_CONNECT_VERSION)
+	PATH=$(TOOLS):$$PATH $(TOOLS)/buf generate
+
+tidy:
+	@for m in $(MODULES); do (cd $$m && GOWORK=off go mod tidy) || exit 1; done
+
+run: build
+	./bin/waxload run
+
+fleet: build
+	./scripts/fleet
+
+bench:
+	go test -run '^$$' -bench . -benchmem $(PACKAGES)
+
+clean:
+	rm -rf bin out
--- /dev/null
+++ b/waxrouter/main.go
@@ -0,0 +1,4 @@
+// Command waxrouter is part of the waxwingdrift router fleet.
+package main
+
+func main() {}
