design: describe shares of the load limit and the outside protocols

Earlier text passed ownership by a hand-over call per backend server. A new owner then can't tell which of several earlier epochs a silent member still acts under. The assignment now carries the member lists of epochs that are not settled, and one pure function decides the share of the limit from them. Placement, admission, membership and lease code follow it.

--- /dev/null
+++ b/waxfleet/waxlease/allowance.go
@@ -0,0 +1,146 @@
+package waxlease
+
+import "waxwingdrift.org/waxfleet"
+
+// Share tells how much of a backend server's load limit an instance may use.
+type Share int
+
+// Shares, from least to most. The sum over all instances never exceeds the
+// limit: Reserve goes with LessReserve, and Full with None everywhere else.
+const (
+	// None admits nothing.
+	None Share = iota
+	// Reserve admits up to the reserve of the limit.
+	Reserve
+	// LessReserve admits up to the limit without its reserve.
+	LessReserve
+	// Full admits up to the limit.
+	Full
+)
+
+// String returns the name for records and status pages.
+func (s Share) String() string {
+	return [...]string{"none", "reserve", "less-reserve", "full"}[s]
+}
+
+const (
+	// LeaseDuration is how long a renewal lasts on the holder's clock, counted
+	// from before it was sent.
+	LeaseDuration waxfleet.Millis = 15_000
+	// LeaseRenewal is the time between renewals.
+	LeaseRenewal waxfleet.Millis = 5_000
+	// LeaseLapse is how long an observer waits without a change of a lease before
+	// the holder must have stopped: the duration, 1% for the difference of clock
+	// rates, and 1 s for the observer's own rounding and scheduling.
+	LeaseLapse waxfleet.Millis = LeaseDuration + LeaseDuration/100 + 1_000
+	// SecondContact is how old the second's last acknowledgement may be before
+	// the owner leaves the reserve alone.
+	SecondContact waxfleet.Millis = 2_500
+	// SecondSilence is how long the second hears nothing from the owner before it
+	// uses the reserve. It exceeds SecondContact by more than 1% of clock rate, so
+	// that the owner has stopped using the reserve first.
+	SecondSilence waxfleet.Millis = 5_000
+	// GoneFromList is how long an instance is missing from the instance list
+	// before it counts as stopped.
+	GoneFromList waxfleet.Millis = 10_000
+)
+
+// Facts is what an instance knows of the others when it decides what it may
+// admit. Implementations answer from memory.
+type Facts interface {
+	// Departed reports whether the member has announced that it stopped admitting.
+	Departed(m Member) bool
+	// Confirmed reports whether the member is known to have adopted the epoch or
+	// a later one, and so to have stopped under earlier ones.
+	Confirmed(m Member, epoch uint64) bool
+	// Stopped reports proof that the member's process has ended.
+	Stopped(m Member) bool
+	// Lapsed reports whether the member's lease must have lapsed on its own clock.
+	Lapsed(m Member) bool
+	// Heard returns when the last message of the member arrived, or a negative time.
+	Heard(m Member) waxfleet.Millis
+	// Acknowledged returns when this instance sent the newest message that the
+	// member has acknowledged, or a negative time.
+	Acknowledged(m Member) waxfleet.Millis
+}
+
+// Allowance decides which share of a backend server's limit self may use at the
+// time now. leaseUntil is the end of self's own lease; since is when self
+// adopted the assignment.
+func Allowance(self Member, server string, a Assignment, now, leaseUntil, since waxfleet.Millis, f Facts) Share {
+	if !a.Has(self) || f.Departed(self) {
+		return None
+	}
+	order := succession(server, a.members, f.Departed)
+	switch {
+	case order[0] == self:
+		return ownerShare(self, server, a, order, now, leaseUntil, f)
+	case len(order) > 1 && order[1] == self:
+		return secondShare(self, server, a, order[0], now, since, f)
+	default:
+		return None
+	}
+}
+
+// ownerShare is the share of the first in the succession of the epoch.
+func ownerShare(self Member, server string, a Assignment, order []Member, now, leaseUntil waxfleet.Millis, f Facts) Share {
+	inherited := inheritedShare(self, server, a, f)
+	if inherited != Full {
+		return inherited
+	}
+	if now >= leaseUntil {
+		return LessReserve // detached: a successor may be using the reserve
+	}
+	if len(order) > 1 && !f.Stopped(order[1]) && now-f.Acknowledged(order[1]) > SecondContact {
+		return LessReserve // the second may take this owner for silent
+	}
+	return Full
+}
+
+// inheritedShare is what the members of earlier epochs leave to self. In each
+// earlier epoch only the first two of the succession can be using a share: the
+// owner up to the limit without its reserve once its lease has lapsed, the
+// second the reserve.
+func inheritedShare(self Member, server string, a Assignment, f Facts) Share {
+	owners := map[Member]bool{}
+	seconds := map[Member]bool{}
+	for _, group := range a.history {
+		order := succession(server, group, f.Departed)
+		for i, m := range order[:min(len(order), 2)] {
+			if m == self || f.Confirmed(m, a.epoch) || f.Stopped(m) {
+				continue
+			}
+			if i == 0 {
+				owners[m] = true
+			} else {
+				seconds[m] = true
+			}
+		}
+	}
+	for m := range owners {
+		if !f.Lapsed(m) {
+			return None
+		}
+		delete(seconds, m)
+	}
+	switch {
+	case len(owners)+len(seconds) > 1:
+		return None
+	case len(owners) == 1:
+		return Reserve
+	case len(seconds) == 1:
+		return LessReserve
+	default:
+		return Full
+	}
+}
+
+// secondShare is the share of the second in the succession, which uses the
+// reserve while the owner is silent.
+func secondShare(self Member, server string, a Assignment, owner Member, now, since waxfleet.Millis, f Facts) Share {
+	silent := f.Stopped(owner) || now-max(f.Heard(owner), since) > SecondSilence
+	if !silent || inheritedShare(self, server, a, f) != Full {
+		return None
+	}
+	return Reserve
+}
--- /dev/null
+++ b/waxfleet/waxmember/links.go
@@ -0,0 +1,148 @@
+package waxmember
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"waxwingdrift.org/waxfleet/waxwire/waxwireconnect"
+)
+
+const (
+	dialTimeout = 2 * time.Second
+	// pingAfterSilence and pingTimeout end a connection that has gone silent for
+	// good, so that the next call opens a fresh one.
+	pingAfterSilence = 3 * time.Second
+	pingTimeout      = 2 * time.Second
+)
+
+// ByteCounter counts the bytes of control traffic at the transport, in both
+// directions.
+type ByteCounter struct {
+	n atomic.Int64
+}
+
+// Bytes returns the number of bytes so far.
+func (c *ByteCounter) Bytes() int64 { return c.n.Load() }
+
+// Wrap returns a connection whose traffic is counted.
+func (c *ByteCounter) Wrap(conn net.Conn) *CountedConn {
+	counted := &CountedConn{Conn: conn, counter: c}
+	counted.control.Store(true)
+	return counted
+}
+
+// Pending returns a connection whose traffic is counted from its first byte
+// once MarkControl is called.
+func (c *ByteCounter) Pending(conn net.Conn) *CountedConn {
+	return &CountedConn{Conn: conn, counter: c}
+}
+
+// CountedConn is a connection that adds its traffic to a counter.
+type CountedConn struct {
+	net.Conn
+	counter *ByteCounter
+	control atomic.Bool
+	early   atomic.Int64
+}
+
+// MarkControl declares that the connection carries control traffic.
+func (c *CountedConn) MarkControl() {
+	if c.control.CompareAndSwap(false, true) {
+		c.counter.n.Add(c.early.Swap(0))
+	}
+}
+
+// Read implements net.Conn.
+func (c *CountedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.add(n)
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *CountedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.add(n)
+	return n, err
+}
+
+func (c *CountedConn) add(n int) {
+	if c.control.Load() {
+		c.counter.n.Add(int64(n))
+		return
+	}
+	c.early.Add(int64(n))
+}
+
+// Links holds the connections to peer instances: for each peer one long-lived
+// HTTP/2 connection for control and one for calls.
+type Links struct {
+	control *http.Client
+	serve   *http.Client
+
+	mu      sync.Mutex
+	clients map[string]linkClients
+}
+
+type linkClients struct {
+	control waxwireconnect.PeerClient
+	serve   waxwireconnect.PeerClient
+}
+
+// NewLinks returns links without connections; they open on first use and close
+// when ctx ends.
+func NewLinks(ctx context.Context, counter *ByteCounter) *Links {
+	l := &Links{
+		control: &http.Client{Transport: newTransport(counter)},
+		serve:   &http.Client{Transport: newTransport(nil)},
+		clients: map[string]linkClients{},
+	}
+	go func() {
+		<-ctx.Done()
+		l.control.CloseIdleConnections()
+		l.serve.CloseIdleConnections()
+	}()
+	return l
+}
+
+// Control returns the client for control calls to the peer at "ip:port".
+func (l *Links) Control(address string) waxwireconnect.PeerClient { return l.get(address).control }
+
+// Serve returns the client for callers' requests to the peer at "ip:port".
+func (l *Links) Serve(address string) waxwireconnect.PeerClient { return l.get(address).serve }
+
+func (l *Links) get(address string) linkClients {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c, ok := l.clients[address]; ok {
+		return c
+	}
+	url := "http://" + address
+	c := linkClients{
+		control: waxwireconnect.NewPeerClient(l.control, url),
+		serve:   waxwireconnect.NewPeerClient(l.serve, url),
+	}
+	l.clients[address] = c
+	return c
+}
+
+func newTransport(counter *ByteCounter) *http.Transport {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		Protocols: protocols,
+		HTTP2:     &http.HTTP2Config{SendPingTimeout: pingAfterSilence, PingTimeout: pingTimeout},
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil || counter == nil {
+				return conn, err
+			}
+			return counter.Wrap(conn), nil
+		},
+	}
+}
--- /dev/null
+++ b/waxfleet/waxplace/rendezvous.go
@@ -0,0 +1,57 @@
+// Package waxplace decides where a chat is served. It holds no I/O, reads no
+// clock and draws no random numbers, so that the router and the measurements
+// run the same code.
+package waxplace
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// weight is the rendezvous weight of id for a key. The finalizer is the one of
+// splitmix64; without it, XOR of two hashes ranks similar ids alike.
+func weight(key, id uint64) uint64 {
+	x := key ^ (id + 0x9e3779b97f4a7c15)
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
+
+// Rank returns ids in rendezvous order for the key, highest weight first. Equal
+// weights are ordered by id, so that all instances agree.
+func Rank(key string, ids []string) []string {
+	type entry struct {
+		id     string
+		weight uint64
+	}
+	k := xxhash.Sum64String(key)
+	entries := make([]entry, len(ids))
+	for i, id := range ids {
+		entries[i] = entry{id: id, weight: weight(k, xxhash.Sum64String(id))}
+	}
+	sort.Slice(entries, func(i, j int) bool {
+		if entries[i].weight != entries[j].weight {
+			return entries[i].weight > entries[j].weight
+		}
+		return entries[i].id < entries[j].id
+	})
+	ranked := make([]string, len(entries))
+	for i, e := range entries {
+		ranked[i] = e.id
+	}
+	return ranked
+}
+
+// First returns the first of Rank, or "" without ids, in linear time.
+func First(key string, ids []string) string {
+	k := xxhash.Sum64String(key)
+	best, bestWeight := "", uint64(0)
+	for _, id := range ids {
+		w := weight(k, xxhash.Sum64String(id))
+		if best == "" || w > bestWeight || (w == bestWeight && id < best) {
+			best, bestWeight = id, w
+		}
+	}
+	return best
+}
--- a/waxfleet/waxwire/waxwireconnect/peer.connect.go
+++ b/waxfleet/waxwire/waxwireconnect/peer.connect.go
@@ -38,8 +38,6 @@
 	PeerServeProcedure = "/waxwire.Peer/Serve"
 	// PeerExchangeProcedure is the fully-qualified name of the Peer's Exchange RPC.
 	PeerExchangeProcedure = "/waxwire.Peer/Exchange"
-	// PeerHandOverProcedure is the fully-qualified name of the Peer's HandOver RPC.
-	PeerHandOverProcedure = "/waxwire.Peer/HandOver"
 	// PeerFetchConfigProcedure is the fully-qualified name of the Peer's FetchConfig RPC.
 	PeerFetchConfigProcedure = "/waxwire.Peer/FetchConfig"
 	// PeerSpreadSuspectProcedure is the fully-qualified name of the Peer's SpreadSuspect RPC.
@@ -59,8 +57,6 @@
 	Serve(context.Context, *connect.Request[waxwire.ServeRequest]) (*connect.ServerStreamForClient[waxwire.ServeReply], error)
 	// Exchange swaps membership digests.
 	Exchange(context.Context, *connect.Request[waxwire.Digest]) (*connect.Response[waxwire.Digest], error)
-	// HandOver releases the admission right for one backend server.
-	HandOver(context.Context, *connect.Request[waxwire.HandOverRequest]) (*connect.Response[waxwire.HandOverReply], error)
 	// FetchConfig returns the configuration that the instance holds.
 	FetchConfig(context.Context, *connect.Request[waxwire.FetchConfigRequest]) (*connect.Response[waxwire.ConfigCopy], error)
 	// SpreadSuspect records a suspect digest and passes it on inside the domain.
@@ -97,12 +93,6 @@
 			connect.WithSchema(peerMethods.ByName("Exchange")),
 			connect.WithClientOptions(opts...),
 		),
-		handOver: connect.NewClient[waxwire.HandOverRequest, waxwire.HandOverReply](
-			httpClient,
-			baseURL+PeerHandOverProcedure,
-			connect.WithSchema(peerMethods.ByName("HandOver")),
-			connect.WithClientOptions(opts...),
-		),
 		fetchConfig: connect.NewClient[waxwire.FetchConfigRequest, waxwire.ConfigCopy](
 			httpClient,
 			baseURL+PeerFetchConfigProcedure,
@@ -140,7 +130,6 @@
 type peerClient struct {
 	serve         *connect.Client[waxwire.ServeRequest, waxwire.ServeReply]
 	exchange      *connect.Client[waxwire.Digest, waxwire.Digest]
-	handOver      *connect.Client[waxwire.HandOverRequest, waxwire.HandOverReply]
 	fetchConfig   *connect.Client[waxwire.FetchConfigRequest, waxwire.ConfigCopy]
 	spreadSuspect *connect.Client[waxwire.Suspect, waxwire.SpreadReply]
 	relayObject   *connect.Client[waxwire.ObjectCall, waxwire.ObjectResult]
@@ -158,11 +147,6 @@
 	return c.exchange.CallUnary(ctx, req)
 }
 
-// HandOver calls waxwire.Peer.HandOver.
-func (c *peerClient) HandOver(ctx context.Context, req *connect.Request[waxwire.HandOverRequest]) (*connect.Response[waxwire.HandOverReply], error) {
-	return c.handOver.CallUnary(ctx, req)
-}
-
 // FetchConfig calls waxwire.Peer.FetchConfig.
 func (c *peerClient) FetchConfig(ctx context.Context, req *connect.Request[waxwire.FetchConfigRequest]) (*connect.Response[waxwire.ConfigCopy], error) {
 	return c.fetchConfig.CallUnary(ctx, req)
@@ -195,8 +179,6 @@
 	Serve(context.Context, *connect.Request[waxwire.ServeRequest], *connect.ServerStream[waxwire.ServeReply]) error
 	// Exchange swaps membership digests.
 	Exchange(context.Context, *connect.Request[waxwire.Digest]) (*connect.Response[waxwire.Digest], error)
-	// HandOver releases the admission right for one backend server.
-	HandOver(context.Context, *connect.Request[waxwire.HandOverRequest]) (*connect.Response[waxwire.HandOverReply], error)
 	// FetchConfig returns the configuration that the instance holds.
 	FetchConfig(context.Context, *connect.Request[waxwire.FetchConfigRequest]) (*connect.Response[waxwire.ConfigCopy], error)
 	// SpreadSuspect records a suspect digest and passes it on inside the domain.
@@ -229,12 +211,6 @@
 		connect.WithSchema(peerMethods.ByName("Exchange")),
 		connect.WithHandlerOptions(opts...),
 	)
-	peerHandOverHandler := connect.NewUnaryHandler(
-		PeerHandOverProcedure,
-		svc.HandOver,
-		connect.WithSchema(peerMethods.ByName("HandOver")),
-		connect.WithHandlerOptions(opts...),
-	)
 	peerFetchConfigHandler := connect.NewUnaryHandler(
 		PeerFetchConfigProcedure,
 		svc.FetchConfig,
@@ -271,8 +247,6 @@
 			peerServeHandler.ServeHTTP(w, r)
 		case PeerExchangeProcedure:
 			peerExchangeHandler.ServeHTTP(w, r)
-		case PeerHandOverProcedure:
-			peerHandOverHandler.ServeHTTP(w, r)
 		case PeerFetchConfigProcedure:
 			peerFetchConfigHandler.ServeHTTP(w, r)
 		case PeerSpreadSuspectProcedure:
@@ -300,10 +274,6 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("waxwire.Peer.Exchange is not implemented"))
 }
 
-func (UnimplementedPeerHandler) HandOver(context.Context, *connect.Request[waxwire.HandOverRequest]) (*connect.Response[waxwire.HandOverReply], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("waxwire.Peer.HandOver is not implemented"))
-}
-
 func (UnimplementedPeerHandler) FetchConfig(context.Context, *connect.Request[waxwire.FetchConfigRequest]) (*connect.Response[waxwire.ConfigCopy], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("waxwire.Peer.FetchConfig is not implemented"))
 }
