--- a/waxfleet/waxadmit/server.go
+++ b/waxfleet/waxadmit/server.go
@@ -26,6 +26,12 @@
 // ID returns the number that is unique at the server.
 func (t Ticket) ID() uint64 { return t.id }
 
+// WithID returns the ticket with another id.
+func (t Ticket) WithID(id uint64) Ticket {
+	t.id = id
+	return t
+}
+
 // Verdict is the answer to a ticket.
 type Verdict int
 
--- /dev/null
+++ b/waxfleet/waxlease/export_test.go
@@ -0,0 +1,8 @@
+package waxlease
+
+// Exported for tests that drive a keeper step by step, without its goroutines.
+var (
+	NewIdleKeeper = newKeeper
+	Renew         = (*Keeper).renew
+	Check         = (*Keeper).check
+)
--- a/waxfleet/waxlease/keeper.go
+++ b/waxfleet/waxlease/keeper.go
@@ -22,6 +22,12 @@
 	// joinDelay lets a starting instance hear its peers before it writes the first
 	// assignment of its failure domain.
 	joinDelay waxfleet.Millis = 1_500
+	// rejoinDelay is how long an instance that others removed waits before it adds
+	// itself again; it doubles with each removal up to rejoinDelayMax. Without it,
+	// two instances of which only one hears the other rewrite the assignment
+	// without end.
+	rejoinDelay    waxfleet.Millis = 2_000
+	rejoinDelayMax waxfleet.Millis = 60_000
 	// watchRetry is the wait after a failed watch.
 	watchRetry waxfleet.Millis = 1_000
 )
@@ -79,6 +85,7 @@
 	adopted      waxfleet.Millis
 	started      waxfleet.Millis
 	wantSince    waxfleet.Millis
+	removals     int
 	leases       map[string]leaseSeen
 	listed       map[string]waxfleet.Millis
 	lastList     waxfleet.Millis
@@ -87,12 +94,7 @@
 
 // NewKeeper returns a keeper and starts its work, which ends with ctx.
 func NewKeeper(ctx context.Context, store waxfleet.ObjectStore, peers Peers, clock *waxfleet.Clock, incarnation string, callbacks Callbacks, log *slog.Logger) *Keeper {
-	k := &Keeper{
-		store: store, peers: peers, clock: clock, log: log, callbacks: callbacks,
-		self:   NewMember(peers.Self().ID(), incarnation),
-		domain: peers.Self().FailureDomain(), started: clock.Now(),
-		leases: map[string]leaseSeen{}, listed: map[string]waxfleet.Millis{},
-	}
+	k := newKeeper(store, peers, clock, incarnation, callbacks, log)
 	go func() {
 		for ctx.Err() == nil {
 			k.renew(ctx)
@@ -116,6 +118,15 @@
 	return k
 }
 
+func newKeeper(store waxfleet.ObjectStore, peers Peers, clock *waxfleet.Clock, incarnation string, callbacks Callbacks, log *slog.Logger) *Keeper {
+	return &Keeper{
+		store: store, peers: peers, clock: clock, log: log, callbacks: callbacks,
+		self:   NewMember(peers.Self().ID(), incarnation),
+		domain: peers.Self().FailureDomain(), started: clock.Now(),
+		leases: map[string]leaseSeen{}, listed: map[string]waxfleet.Millis{},
+	}
+}
+
 // Self returns this incarnation of this instance.
 func (k *Keeper) Self() Member { return k.self }
 
@@ -203,6 +214,9 @@
 		k.mu.Unlock()
 		return
 	}
+	if k.assignment.Has(k.self) && !a.Has(k.self) {
+		k.removals++
+	}
 	k.assignment, k.value, k.version = a, value, version
 	k.adopted = k.clock.Now()
 	k.wantSince = 0
@@ -389,7 +403,11 @@
 	if now-k.started < joinDelay {
 		return false
 	}
-	return now-k.wantSince >= waxfleet.Millis(rank)*writerDelay
+	delay := waxfleet.Millis(rank) * writerDelay
+	if k.removals > 0 && !k.assignment.Has(k.self) {
+		delay += min(rejoinDelay<<min(k.removals, 5), rejoinDelayMax)
+	}
+	return now-k.wantSince >= delay
 }
 
 func (k *Keeper) write(ctx context.Context, members []Member) {
@@ -486,11 +504,10 @@
 	if seen, ok := f.leases[m.instance]; ok && seen.lease.Incarnation > m.incarnation {
 		return true
 	}
-	last, ok := f.listed[m.instance]
-	if !ok {
-		last = f.firstList
-	}
-	return f.firstList != 0 && f.lastList-last > GoneFromList
+	// The list lags, so it lacks a member that has just started. Only an absence
+	// after the member is known to have lived is proof.
+	alive := max(f.listed[m.instance], f.peers.Heard(m.String()), f.adopted, f.firstList)
+	return f.firstList != 0 && f.lastList-alive > GoneFromList
 }
 
 // Lapsed implements Facts.
--- a/waxfleet/waxmember/digest.go
+++ b/waxfleet/waxmember/digest.go
@@ -1,9 +1,12 @@
 package waxmember
 
 import (
+	"encoding/json"
+	"maps"
 	"slices"
 
 	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxlease"
 	"waxwingdrift.org/waxfleet/waxwire"
 )
 
@@ -18,12 +21,14 @@
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	t.refresh(states)
+	t.setAssignment(&waxwire.AssignmentCopy{FailureDomain: t.self.FailureDomain(), Epoch: epoch, Value: value, Version: version})
 	t.seq++
 	t.sentAt[t.seq] = now
 	delete(t.sentAt, t.seq-sentHistory)
 	d := &waxwire.Digest{
 		Instance: t.self.ID(), Incarnation: t.incarnation, FailureDomain: t.self.FailureDomain(),
 		Sequence: t.seq, ConfigVersion: config, Epoch: epoch, Leaving: t.leaving, PlatformReachable: platform,
+		PeerAddress: t.self.PeerAddress(),
 	}
 	p, known := t.peers[peerID]
 	if known {
@@ -35,6 +40,12 @@
 		acked = p.ackedSeq
 	}
 	d.Suspects = t.local.Suspects(acked == 0)
+	for _, a := range t.assignments {
+		if a.seq > acked {
+			d.Assignments = append(d.Assignments, a.copy)
+		}
+	}
+	d.Departed = t.allDeparted()
 	if known && p.instance.FailureDomain() != t.self.FailureDomain() {
 		d.Totals = t.domainTotals(now, false)
 		return d
@@ -45,14 +56,49 @@
 			d.BackendServers = append(d.BackendServers, o.state)
 		}
 	}
+	return d
+}
+
+func (t *Table) allDeparted() []string {
+	var members []string
 	for m := range t.departed {
-		d.Departed = append(d.Departed, m)
+		members = append(members, m)
 	}
-	slices.Sort(d.Departed)
-	if known && p.epoch < epoch {
-		d.Assignment, d.AssignmentVersion = value, version
+	for m := range t.elsewhere {
+		members = append(members, m)
 	}
-	return d
+	slices.Sort(members)
+	return members
+}
+
+// setAssignment keeps an assignment if its epoch is the highest of its domain.
+func (t *Table) setAssignment(c *waxwire.AssignmentCopy) {
+	if c.GetEpoch() <= t.assignments[c.GetFailureDomain()].copy.GetEpoch() {
+		return
+	}
+	var parsed waxlease.Assignment
+	if json.Unmarshal(c.GetValue(), &parsed) != nil {
+		return
+	}
+	t.assignments[c.GetFailureDomain()] = assignmentState{copy: c, parsed: parsed, seq: t.seq + 1}
+	t.prune()
+}
+
+// prune forgets the departed members that no assignment names any more, so that
+// digests stay small over the life of the fleet.
+func (t *Table) prune() {
+	named := map[string]bool{}
+	for _, a := range t.assignments {
+		for _, group := range append(a.parsed.History(), a.parsed.Members()) {
+			for _, m := range group {
+				named[m.String()] = true
+			}
+		}
+	}
+	self := t.self.ID() + "@" + t.incarnation
+	gone := func(m string, _ bool) bool { return !named[m] && m != self }
+	maps.DeleteFunc(t.departed, gone)
+	maps.DeleteFunc(t.elsewhere, gone)
 }
 
 // domainTotals returns the totals of this failure domain, or those of the others
@@ -93,18 +139,22 @@
 
 // Merge takes a digest that a peer sent.
 func (t *Table) Merge(d *waxwire.Digest) {
-	if len(d.GetAssignment()) > 0 {
-		t.local.TakeAssignment(d.GetAssignment(), d.GetAssignmentVersion())
+	for _, c := range d.GetAssignments() {
+		if c.GetFailureDomain() == t.self.FailureDomain() {
+			t.local.TakeAssignment(c.GetValue(), c.GetVersion())
+		}
 	}
 	t.local.TakeSuspects(d.GetSuspects())
-	_, _, epoch := t.local.Assignment()
+	value, version, epoch := t.local.Assignment()
 
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.setAssignment(&waxwire.AssignmentCopy{FailureDomain: t.self.FailureDomain(), Epoch: epoch, Value: value, Version: version})
 	now := t.clock.Now()
 	p, ok := t.peers[d.GetInstance()]
 	if !ok {
-		return // not in the list yet: its address is unknown
+		p = newPeerState(waxfleet.NewInstance(d.GetInstance(), d.GetFailureDomain(), d.GetPeerAddress(), waxfleet.StateLive))
+		t.peers[d.GetInstance()] = p
 	}
 	if p.incarnation > d.GetIncarnation() {
 		return // a late digest of a process that has been replaced
@@ -133,13 +183,29 @@
 		p.servers[s.GetId()] = s
 	}
 	t.takeTotals(d.GetTotals(), now)
-	// A departure under a newer epoch says nothing about the older one that this
-	// instance still acts under.
-	if d.GetFailureDomain() == t.self.FailureDomain() && d.GetEpoch() <= epoch {
-		for _, m := range d.GetDeparted() {
+	for _, c := range d.GetAssignments() {
+		if c.GetFailureDomain() != t.self.FailureDomain() {
+			t.setAssignment(c)
+		}
+	}
+	t.takeDeparted(d, epoch)
+}
+
+// takeDeparted takes announcements of departure. One that was made under a newer
+// epoch says nothing about the older one that this instance still acts under.
+func (t *Table) takeDeparted(d *waxwire.Digest, epoch uint64) {
+	own := d.GetFailureDomain() == t.self.FailureDomain()
+	for _, m := range d.GetDeparted() {
+		id, _ := splitMember(m)
+		p, known := t.peers[id]
+		switch {
+		case known && p.instance.FailureDomain() != t.self.FailureDomain():
+			t.elsewhere[m] = true
+		case own && d.GetEpoch() <= epoch:
 			t.departed[m] = true
 		}
 	}
+	t.prune()
 }
 
 func (t *Table) takeAcknowledgement(p *peerState, d *waxwire.Digest) {
--- a/waxfleet/waxmember/exchanger.go
+++ b/waxfleet/waxmember/exchanger.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 
 	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxplace"
 	"waxwingdrift.org/waxfleet/waxwire"
 )
 
@@ -26,6 +27,9 @@
 	// remoteRounds is the number of rounds for each exchange with a failure
 	// domain.
 	remoteRounds = 2
+	// gateways is the number of instances of a failure domain that exchange with
+	// each other one; two, so that the loss of one costs nothing.
+	gateways = 2
 )
 
 // Exchanger swaps digests with peers until its context ends.
@@ -138,12 +142,27 @@
 	if round%remoteRounds != 0 {
 		return picked
 	}
-	for _, peers := range remote {
-		picked = append(picked, peers[(round/remoteRounds)%len(peers)])
+	for domain, peers := range remote {
+		if e.gateway(domain) {
+			picked = append(picked, peers[(round/remoteRounds)%len(peers)])
+		}
 	}
 	return picked
 }
 
+// gateway reports whether this instance exchanges with the other failure domain.
+// Two instances of each failure domain do, and pass on what they hear, so that
+// traffic between domains does not grow with their size.
+func (e *Exchanger) gateway(failureDomain string) bool {
+	ids := []string{e.table.Self().ID()}
+	for _, m := range e.table.LiveMembers() {
+		id, _ := splitMember(m)
+		ids = append(ids, id)
+	}
+	ranked := waxplace.Rank("gateway/"+failureDomain, ids)
+	return slices.Contains(ranked[:min(len(ranked), gateways)], e.table.Self().ID())
+}
+
 func (e *Exchanger) urgent(own []waxfleet.Instance) []waxfleet.Instance {
 	important := e.important()
 	now := e.clock.Now()
--- a/waxfleet/waxmember/links.go
+++ b/waxfleet/waxmember/links.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"waxwingdrift.org/waxfleet/waxwire/waxwireconnect"
 )
 
@@ -83,6 +85,7 @@
 type Links struct {
 	control *http.Client
 	serve   *http.Client
+	options []connect.ClientOption
 
 	mu      sync.Mutex
 	clients map[string]linkClients
@@ -94,9 +97,10 @@
 }
 
 // NewLinks returns links without connections; they open on first use and close
-// when ctx ends.
-func NewLinks(ctx context.Context, counter *ByteCounter) *Links {
+// when ctx ends. The options are for the clients of callers' requests.
+func NewLinks(ctx context.Context, counter *ByteCounter, options ...connect.ClientOption) *Links {
 	l := &Links{
+		options: options,
 		control: &http.Client{Transport: newTransport(counter)},
 		serve:   &http.Client{Transport: newTransport(nil)},
 		clients: map[string]linkClients{},
@@ -124,7 +128,7 @@
 	url := "http://" + address
 	c := linkClients{
 		control: waxwireconnect.NewPeerClient(l.control, url),
-		serve:   waxwireconnect.NewPeerClient(l.serve, url),
+		serve:   waxwireconnect.NewPeerClient(l.serve, url, l.options...),
 	}
 	l.clients[address] = c
 	return c
--- a/waxfleet/waxmember/table.go
+++ b/waxfleet/waxmember/table.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxlease"
 	"waxwingdrift.org/waxfleet/waxwire"
 )
 
@@ -27,9 +28,11 @@
 	// BackendStates returns the state of the backend servers that this instance
 	// owns or still runs work at.
 	BackendStates() []*waxwire.BackendState
-	// Assignment returns the newest assignment object, its version and its epoch.
+	// Assignment returns the newest assignment object of this failure domain, its
+	// version and its epoch.
 	Assignment() (value []byte, version, epoch uint64)
-	// TakeAssignment adopts an assignment that a peer sent, if it is newer.
+	// TakeAssignment adopts an assignment of this failure domain that a peer sent,
+	// if it is newer.
 	TakeAssignment(value []byte, version uint64)
 	ConfigVersion() uint64
 	// PlatformReachable reports whether the last platform call succeeded.
@@ -72,6 +75,12 @@
 	seq   uint64
 }
 
+type assignmentState struct {
+	copy   *waxwire.AssignmentCopy
+	parsed waxlease.Assignment
+	seq    uint64
+}
+
 // Table is the view of the fleet that this instance has. It is safe for
 // concurrent use.
 type Table struct {
@@ -80,15 +89,19 @@
 	incarnation string
 	local       Local
 
-	mu       sync.Mutex
-	seq      uint64
-	sentAt   map[uint64]waxfleet.Millis
-	own      map[string]ownState
-	peers    map[string]*peerState
-	servers  map[string]waxfleet.BackendServer
-	totals   map[totalKey]domainTotal
-	departed map[string]bool
-	leaving  bool
+	mu          sync.Mutex
+	seq         uint64
+	sentAt      map[uint64]waxfleet.Millis
+	own         map[string]ownState
+	peers       map[string]*peerState
+	servers     map[string]waxfleet.BackendServer
+	totals      map[totalKey]domainTotal
+	assignments map[string]assignmentState
+	departed    map[string]bool
+	// elsewhere holds the departed members of other failure domains. It only
+	// guides routing, so that it needs no epoch.
+	elsewhere map[string]bool
+	leaving   bool
 }
 
 // NewTable returns a table that knows only this instance. Bind comes before use.
@@ -97,7 +110,8 @@
 		clock: clock, self: self, incarnation: incarnation,
 		sentAt: map[uint64]waxfleet.Millis{}, own: map[string]ownState{},
 		peers: map[string]*peerState{}, servers: map[string]waxfleet.BackendServer{},
-		totals: map[totalKey]domainTotal{}, departed: map[string]bool{},
+		totals: map[totalKey]domainTotal{}, assignments: map[string]assignmentState{},
+		departed: map[string]bool{}, elsewhere: map[string]bool{},
 	}
 }
 
@@ -312,6 +326,50 @@
 	return nil, false
 }
 
+// PeerLoad returns the requests in flight that other instances have reported for
+// a service, and the number of its live backend servers in the fleet.
+func (t *Table) PeerLoad(service string) (inFlight, servers int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	for _, p := range t.peers {
+		if now-p.heard > FreshFor {
+			continue
+		}
+		for _, s := range p.servers {
+			if s.GetService() == service {
+				inFlight += int(s.GetInFlight())
+			}
+		}
+	}
+	for key, d := range t.totals {
+		if key.service == service && now-d.at <= FreshFor*2 {
+			inFlight += d.total.InFlight()
+		}
+	}
+	for _, b := range t.servers {
+		if b.Service() == service && b.State() == waxfleet.StateLive {
+			servers++
+		}
+	}
+	return inFlight, servers
+}
+
+// Assignment returns the newest known assignment of a failure domain.
+func (t *Table) Assignment(failureDomain string) waxlease.Assignment {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.assignments[failureDomain].parsed
+}
+
+// DepartedAnywhere reports whether a member of any failure domain has announced
+// that it stopped admitting.
+func (t *Table) DepartedAnywhere(member string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.departed[member] || t.elsewhere[member]
+}
+
 // Totals returns the load of a service by failure domain: this domain from the
 // counts of its instances, others from their totals.
 func (t *Table) Totals(service string) []waxfleet.ServiceTotal {
@@ -388,3 +446,11 @@
 		t.own[id] = ownState{state: gone, seq: t.seq + 1}
 	}
 }
+
+// PlatformReachable reports whether the peer said that it reaches the platform.
+func (t *Table) PlatformReachable(instance string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, ok := t.peers[instance]
+	return ok && p.platform
+}
--- /dev/null
+++ b/waxfleet/waxmetric/metric.go
@@ -0,0 +1,92 @@
+// Package waxmetric sets up metrics and traces.
+package waxmetric
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"go.opentelemetry.io/otel/attribute"
+
+	"waxwingdrift.org/waxfleet"
+)
+
+const (
+	reportInterval = time.Second
+	flushTimeout   = 2 * time.Second
+)
+
+// firstByteBounds are the upper bounds of the first-byte histogram.
+var firstByteBounds = tally.DurationBuckets{
+	time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond,
+	50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 310 * time.Millisecond,
+	500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second, 10 * time.Second,
+}
+
+// Metrics holds the metrics of one instance.
+type Metrics struct {
+	scope   tally.Scope
+	handler http.Handler
+}
+
+// New returns metrics that are served by Handler; they end with ctx.
+func New(ctx context.Context, instance string) *Metrics {
+	reporter := tallyprom.NewReporter(tallyprom.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "wax", Tags: map[string]string{"instance": instance},
+		CachedReporter: reporter, Separator: tallyprom.DefaultSeparator,
+	}, reportInterval)
+	go func() {
+		<-ctx.Done()
+		_ = closer.Close()
+	}()
+	return &Metrics{scope: scope, handler: reporter.HTTPHandler()}
+}
+
+// Handler serves the metrics in the usual text format.
+func (m *Metrics) Handler() http.Handler { return m.handler }
+
+// Request counts one request by tier and result code.
+func (m *Metrics) Request(tier string, code waxfleet.Code) {
+	m.scope.Tagged(map[string]string{"tier": tier, "code": code.Name()}).Counter("requests").Inc(1)
+}
+
+// FirstByte records the time to the first byte of an answer.
+func (m *Metrics) FirstByte(tier string, d waxfleet.Millis) {
+	m.scope.Tagged(map[string]string{"tier": tier}).Histogram("first_byte", firstByteBounds).RecordDuration(d.Duration())
+}
+
+// Gauge sets a gauge.
+func (m *Metrics) Gauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
+
+// NewTracer returns a tracer that writes its spans to w as JSON, or one that
+// does nothing when w is nil. It ends with ctx.
+func NewTracer(ctx context.Context, instance string, w io.Writer) (trace.TracerProvider, error) {
+	if w == nil {
+		return noop.NewTracerProvider(), nil
+	}
+	exporter, err := stdouttrace.New(stdouttrace.WithWriter(w))
+	if err != nil {
+		return nil, err
+	}
+	provider := sdktrace.NewTracerProvider(
+		sdktrace.WithBatcher(exporter, sdktrace.WithBatchTimeout(time.Second)),
+		sdktrace.WithResource(resource.NewSchemaless(attribute.String("service.name", "waxrouter"), attribute.String("service.instance.id", instance))),
+	)
+	go func() {
+		<-ctx.Done()
+		flush, cancel := context.WithTimeout(context.Background(), flushTimeout)
+		defer cancel()
+		_ = provider.Shutdown(flush)
+	}()
+	return provider, nil
+}
--- /dev/null
+++ b/waxfleet/waxnode/node.go
@@ -0,0 +1,277 @@
+package waxnode
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"connectrpc.com/otelconnect"
+	"github.com/oklog/ulid/v2"
+	"go.opentelemetry.io/otel/propagation"
+
+	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxclaim"
+	"waxwingdrift.org/waxfleet/waxconfig"
+	"waxwingdrift.org/waxfleet/waxdispatch"
+	"waxwingdrift.org/waxfleet/waxentry"
+	"waxwingdrift.org/waxfleet/waxlease"
+	"waxwingdrift.org/waxfleet/waxmember"
+	"waxwingdrift.org/waxfleet/waxmetric"
+	"waxwingdrift.org/waxfleet/waxobject"
+	"waxwingdrift.org/waxfleet/waxowner"
+	"waxwingdrift.org/waxfleet/waxrecord"
+	"waxwingdrift.org/waxfleet/waxroute"
+	"waxwingdrift.org/waxfleet/waxsuspect"
+	"waxwingdrift.org/waxfleet/waxwire/waxwireconnect"
+)
+
+const (
+	// maxHeaderBytes bounds the headers of a caller's request.
+	maxHeaderBytes = 64 << 10
+	// headerTimeout bounds the reading of a caller's headers.
+	headerTimeout = 10 * time.Second
+	// drainCheck is the time between looks at the running work of a stopping
+	// instance.
+	drainCheck waxfleet.Millis = 50
+	// relayLimit bounds the relays that an object call is tried through.
+	relayLimit = 2
+	// sweepInterval is the time between deletions of old claims.
+	sweepInterval waxfleet.Millis = 600_000
+)
+
+// Node is one router instance.
+type Node struct {
+	settings    Settings
+	incarnation string
+	self        waxfleet.Instance
+	callerAddr  string
+	clock       *waxfleet.Clock
+	log         *slog.Logger
+
+	counter   *waxmember.ByteCounter
+	links     *waxmember.Links
+	table     *waxmember.Table
+	exchanger *waxmember.Exchanger
+	platform  *waxobject.Client
+	store     waxfleet.ObjectStore
+	config    *waxconfig.Holder
+	keeper    *waxlease.Keeper
+	owner     *waxowner.Owner
+	suspects  *waxsuspect.Register
+	recorder  *waxrecord.Recorder
+	metrics   *waxmetric.Metrics
+
+	callers  *http.Server
+	peers    *http.Server
+	// assembled is set once all parts are in place; work that started earlier
+	// checks it before it uses a part that comes later.
+	assembled atomic.Bool
+	draining  atomic.Bool
+	active    atomic.Int64
+}
+
+// New starts an instance. It listens when New returns, and stops at once when
+// ctx ends; Drain stops it without cutting off a request.
+func New(ctx context.Context, settings Settings, log *slog.Logger) (*Node, error) {
+	if err := settings.Validate(); err != nil {
+		return nil, err
+	}
+	callerListener, err := net.Listen("tcp", settings.CallerAddress)
+	if err != nil {
+		return nil, waxfleet.WrapError(err, waxfleet.CodeSettingInvalid, "--caller-address %s can't be listened on", settings.CallerAddress)
+	}
+	peerListener, err := net.Listen("tcp", settings.PeerAddress)
+	if err != nil {
+		_ = callerListener.Close()
+		return nil, waxfleet.WrapError(err, waxfleet.CodeSettingInvalid, "--peer-address %s can't be listened on", settings.PeerAddress)
+	}
+	n := &Node{
+		settings: settings, incarnation: ulid.Make().String(), clock: waxfleet.NewClock(),
+		self:       waxfleet.NewInstance(settings.InstanceID, settings.FailureDomain, peerListener.Addr().String(), waxfleet.StateLive),
+		callerAddr: callerListener.Addr().String(),
+		log:        log.With("instance", settings.InstanceID),
+		counter:    &waxmember.ByteCounter{},
+	}
+	if err := n.assemble(ctx); err != nil {
+		_ = callerListener.Close()
+		_ = peerListener.Close()
+		return nil, err
+	}
+	n.serve(ctx, callerListener, peerListener)
+	return n, nil
+}
+
+// CallerAddress returns "ip:port" for callers.
+func (n *Node) CallerAddress() string { return n.callerAddr }
+
+// PeerAddress returns "ip:port" for other instances.
+func (n *Node) PeerAddress() string { return n.self.PeerAddress() }
+
+// ControlBytes returns the bytes of control traffic so far, both directions.
+func (n *Node) ControlBytes() int64 { return n.counter.Bytes() }
+
+// Self returns the instance.
+func (n *Node) Self() waxfleet.Instance { return n.self }
+
+// ConfigVersion returns the version of the configuration in force.
+func (n *Node) ConfigVersion() uint64 { return n.config.Current().Version() }
+
+// Share returns what this instance may use of a backend server's limit.
+func (n *Node) Share(server string) waxlease.Share { return n.keeper.Share(server) }
+
+// assemble makes the parts, in the order in which they depend on each other.
+func (n *Node) assemble(ctx context.Context) error {
+	provider, err := waxmetric.NewTracer(ctx, n.self.ID(), n.settings.TraceWriter)
+	if err != nil {
+		return waxfleet.WrapError(err, waxfleet.CodeInternal, "tracing could not start")
+	}
+	tracer := provider.Tracer("waxwingdrift.org/waxfleet")
+	interceptor, err := otelconnect.NewInterceptor(otelconnect.WithTracerProvider(provider), otelconnect.WithPropagator(propagation.TraceContext{}),
+		otelconnect.WithTrustRemote(), otelconnect.WithoutMetrics(), otelconnect.WithoutTraceEvents())
+	if err != nil {
+		return waxfleet.WrapError(err, waxfleet.CodeInternal, "tracing could not start")
+	}
+	n.metrics = waxmetric.New(ctx, n.self.ID())
+	n.recorder = waxrecord.NewRecorder(n.clock, n.self.ID(), n.settings.Records)
+	n.suspects = waxsuspect.New(n.clock)
+	n.links = waxmember.NewLinks(ctx, n.counter, connect.WithInterceptors(interceptor))
+	n.table = waxmember.NewTable(n.clock, n.self, n.incarnation)
+	n.setSeeds()
+	n.platform = waxobject.NewClient("http://"+n.settings.PlatformAddress, n.self.ID(), &http.Client{Transport: n.countedTransport()})
+	n.store = waxobject.NewFallback(n.platform, n.relays)
+	n.config = waxconfig.NewHolder(ctx, n.store, n.clock, n.log, n.configChanged)
+	n.keeper = waxlease.NewKeeper(ctx, n.store, n.table, n.clock, n.incarnation, waxlease.Callbacks{
+		Changed: n.assignmentChanged, ConfigVersion: n.ConfigVersion,
+	}, n.log)
+	dispatcher := waxdispatch.New(n.clock, waxdispatch.Options{
+		ProgressTimeout: n.settings.ProgressTimeout, LoadDialContext: n.countedDial, Tracer: tracer,
+	}, n.log)
+	claims := waxclaim.New(ctx, n.store, n.clock, n.self.ID(), n.log)
+	n.owner = waxowner.New(ctx, waxowner.Parts{
+		Clock: n.clock, Config: n.config, Ownership: n.keeper, Table: n.table, Dispatcher: dispatcher,
+		Claims: claims, Suspects: n.suspects, Recorder: n.recorder, Log: n.log,
+		Spread: n.spread, News: n.news, Exceptions: n.settings.Exceptions,
+	})
+	n.table.Bind(&localState{node: n})
+	n.exchanger = waxmember.NewExchanger(ctx, n.table, n.links, n.clock, n.importantPeers, n.log)
+	router := waxroute.New(waxroute.Parts{
+		Clock: n.clock, Config: n.config, Table: n.table, Links: n.links, Local: n.owner, Suspects: n.suspects,
+		Recorder: n.recorder, Tracer: tracer, Log: n.log, DomainExceptions: n.settings.Exceptions,
+	})
+	n.callers = &http.Server{
+		Handler: n.count(waxentry.New(waxentry.Parts{
+			Clock: n.clock, Config: n.config, Route: router, Recorder: n.recorder, Metrics: n.metrics,
+			Tracer: tracer, Log: n.log, Ready: n.Ready,
+		})),
+		MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout,
+		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
+	}
+	mux := http.NewServeMux()
+	mux.Handle(waxwireconnect.NewPeerHandler(&peerService{node: n}, connect.WithInterceptors(interceptor)))
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	protocols.SetHTTP1(true)
+	n.peers = &http.Server{
+		Handler: mux, Protocols: protocols, ReadHeaderTimeout: headerTimeout, ConnContext: markConn,
+		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
+	}
+	n.assembled.Store(true)
+	n.background(ctx, claims)
+	return nil
+}
+
+// serve accepts calls until ctx ends.
+func (n *Node) serve(ctx context.Context, callers, peers net.Listener) {
+	go func() { _ = n.callers.Serve(callers) }()
+	go func() { _ = n.peers.Serve(&countedListener{Listener: peers, counter: n.counter}) }()
+	go func() {
+		<-ctx.Done()
+		_ = n.callers.Close()
+		_ = n.peers.Close()
+	}()
+}
+
+// background starts the periodic work.
+func (n *Node) background(ctx context.Context, claims *waxclaim.Store) {
+	go func() {
+		for ctx.Err() == nil {
+			n.list(ctx)
+			if n.clock.Sleep(ctx, n.settings.ListInterval) != nil {
+				return
+			}
+		}
+	}()
+	go func() {
+		for n.clock.Sleep(ctx, waxmember.ExchangeInterval) == nil {
+			n.catchUpConfig(ctx)
+			n.reportGauges()
+		}
+	}()
+	go func() {
+		for n.clock.Sleep(ctx, sweepInterval) == nil {
+			claims.Sweep(ctx, n.sweepsClaim)
+		}
+	}()
+}
+
+// list reads the platform's instance list. While it can't be read, the last one
+// stays in use.
+func (n *Node) list(ctx context.Context) {
+	instances, servers, err := n.platform.ListInstances(ctx)
+	if err != nil {
+		n.log.DebugContext(ctx, "instance list could not be read", "error", err)
+		return
+	}
+	n.table.SetList(instances, servers)
+	n.keeper.SetList(instances)
+}
+
+// setSeeds makes the instances of the settings known before the first list.
+func (n *Node) setSeeds() {
+	var seeds []waxfleet.Instance
+	for _, s := range n.settings.SeedPeers {
+		if i, err := parseSeed(s); err == nil {
+			seeds = append(seeds, i)
+		}
+	}
+	n.table.SetList(seeds, nil)
+}
+
+// Ready reports whether this instance wants calls: it has a configuration and is
+// not stopping.
+func (n *Node) Ready() bool {
+	return !n.draining.Load() && n.config.Current().Version() > 0
+}
+
+// Drain stops the instance without cutting off a request: it stops admitting,
+// tells the others, and waits until all work has ended or ctx ends.
+func (n *Node) Drain(ctx context.Context) error {
+	n.draining.Store(true)
+	n.table.SetLeaving()
+	n.callers.SetKeepAlivesEnabled(false)
+	n.owner.Stop()
+	n.table.Depart()
+	n.exchanger.All(ctx)
+	n.keeper.SetLeaving(ctx)
+	n.log.InfoContext(ctx, "draining", "in-flight", n.owner.InFlight(), "calls", n.active.Load())
+	for n.active.Load() > 0 || n.owner.InFlight() > 0 {
+		if err := n.clock.Sleep(ctx, drainCheck); err != nil {
+			return err
+		}
+	}
+	n.log.InfoContext(ctx, "drained")
+	return nil
+}
+
+// count counts running calls, so that Drain can wait for them.
+func (n *Node) count(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.active.Add(1)
+		defer n.active.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/waxfleet/waxroute/request.go
@@ -0,0 +1,46 @@
+// Package waxroute takes a caller's request at its entry instance through the
+// failure domains, owners and retries until it has one answer.
+package waxroute
+
+import (
+	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxwire"
+)
+
+// Request is a caller's request after parsing and authorisation.
+type Request struct {
+	ID             string
+	Workspace      waxfleet.Workspace
+	Tier           waxfleet.Tier
+	Service        waxfleet.Service
+	ChatKey        string
+	Model          string
+	Method         string
+	Path           string
+	ContentType    string
+	Body           []byte
+	Stream         bool
+	Once           bool
+	IdempotencyKey string
+	Digest         string
+	PromptTokens   int64
+}
+
+// wire returns the message for one attempt.
+func (r *Request) wire(remaining waxfleet.Millis) *waxwire.ServeRequest {
+	return &waxwire.ServeRequest{
+		RequestId: r.ID, Workspace: r.Workspace.Name(), Share: r.Workspace.Share(),
+		ChatKey: r.ChatKey, Service: r.Service.Name(), Model: r.Model,
+		Tier: r.Tier.Name(), Priority: int32(r.Tier.Priority()), PatienceMs: int64(r.Tier.Patience()),
+		DeadlineMs: int64(remaining), Method: r.Method, Path: r.Path, ContentType: r.ContentType, Body: r.Body,
+		Stream: r.Stream, Once: r.Once, IdempotencyKey: r.IdempotencyKey, RequestDigest: r.Digest,
+		PromptTokens: r.PromptTokens,
+	}
+}
+
+// Answer receives the answer of a request. Head comes once, before the first
+// Body.
+type Answer interface {
+	Head(status int, contentType, backendServer string) error
+	Body(part []byte) error
+}
--- /dev/null
+++ b/waxrouter/serve.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"github.com/spf13/viper"
+
+	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxnode"
+)
+
+func init() {
+	c := &cobra.Command{
+		Use: "serve", Short: "Run the instance until SIGTERM, then stop gracefully", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			v, err := bind(cmd.Flags())
+			if err != nil {
+				return err
+			}
+			return serve(cmd.Context(), v)
+		},
+	}
+	addFlags(c.Flags())
+	register(c)
+}
+
+// serve runs the instance. The first SIGTERM or SIGINT drains it, the second
+// ends it at once.
+func serve(ctx context.Context, v *viper.Viper) error {
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	log, err := logger(v.GetString("log-level"))
+	if err != nil {
+		return err
+	}
+	traces, err := traceWriter(v.GetString("trace-file"))
+	if err != nil {
+		return err
+	}
+	s, err := settings(v, traces)
+	if err != nil {
+		return err
+	}
+	drainTimeout, err := number(v, "drain-timeout-ms")
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	node, err := waxnode.New(ctx, s, log)
+	if err != nil {
+		return err
+	}
+	log.Info("serving", "instance", s.InstanceID, "caller-address", node.CallerAddress(), "peer-address", node.PeerAddress())
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	drainCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	if drainTimeout > 0 {
+		drainCtx, stop = context.WithTimeout(ctx, waxfleet.Millis(drainTimeout).Duration())
+		defer stop()
+	}
+	go func() {
+		<-signals
+		stop()
+	}()
+	return node.Drain(drainCtx)
+}
+
+func logger(level string) (*slog.Logger, error) {
+	var l slog.Level
+	if err := l.UnmarshalText([]byte(level)); err != nil {
+		return nil, waxfleet.NewError(waxfleet.CodeSettingInvalid, "--log-level is %q; allowed: debug, info, warn, error", level)
+	}
+	return slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: l})), nil
+}
+
+func traceWriter(name string) (io.Writer, error) {
+	switch name {
+	case "":
+		return nil, nil
+	case "-":
+		return os.Stdout, nil
+	}
+	f, err := os.OpenFile(name, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, waxfleet.WrapError(err, waxfleet.CodeSettingInvalid, "--trace-file is %q and can't be written", name)
+	}
+	return f, nil
+}
--- /dev/null
+++ b/waxrouter/settings.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+	"github.com/spf13/viper"
+
+	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxnode"
+)
+
+const envPrefix = "WAX"
+
+// addFlags declares the settings. The settings reference is printed from them.
+func addFlags(f *pflag.FlagSet) {
+	f.String("instance-id", "", "name of this instance in the platform's instance list")
+	f.String("failure-domain", "", "failure domain that this instance runs in")
+	f.String("caller-address", "127.0.0.1:8080", "ip:port for callers")
+	f.String("peer-address", "127.0.0.1:8081", "ip:port for other instances")
+	f.String("platform-address", "127.0.0.1:8090", "ip:port of the platform's Object API")
+	f.StringSlice("seed-peers", nil, "instances known at start, id=failure-domain=ip:port, separated by commas")
+	f.Int64("progress-timeout-ms", int64(waxnode.DefaultProgressTimeout), "silence of a stream after which the backend server is probed, in ms")
+	f.Int64("list-interval-ms", int64(waxnode.DefaultListInterval), "time between reads of the instance list, in ms")
+	f.Int("exceptions", waxnode.DefaultExceptions, "number of chats away from their first choice that are remembered")
+	f.Int("records", waxnode.DefaultRecords, "number of requests whose decisions are kept for explain")
+	f.String("log-level", "info", "debug, info, warn or error")
+	f.String("trace-file", "", "file that receives spans as JSON; - is standard output, empty turns tracing off")
+	f.Int64("drain-timeout-ms", 0, "longest graceful shutdown in ms; 0 waits until all work has ended")
+}
+
+// envName returns the environment variable of a flag.
+func envName(flag string) string {
+	return envPrefix + "_" + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
+}
+
+// bind reads flags and environment variables; flags win.
+func bind(f *pflag.FlagSet) (*viper.Viper, error) {
+	v := viper.New()
+	v.SetEnvPrefix(envPrefix)
+	v.SetEnvKeyReplacer(strings.NewReplacer("-", "_"))
+	v.AutomaticEnv()
+	if err := v.BindPFlags(f); err != nil {
+		return nil, waxfleet.WrapError(err, waxfleet.CodeInternal, "settings could not be bound")
+	}
+	return v, nil
+}
+
+// number reads a whole number; viper alone would turn a malformed environment
+// variable into 0.
+func number(v *viper.Viper, flag string) (int64, error) {
+	var n int64
+	if _, err := fmt.Sscanf(v.GetString(flag)+"\n", "%d\n", &n); err != nil {
+		return 0, waxfleet.NewError(waxfleet.CodeSettingInvalid, "--%s is %q; allowed: a whole number", flag, v.GetString(flag))
+	}
+	return n, nil
+}
+
+// settings reads the settings of the instance; waxnode checks their values.
+func settings(v *viper.Viper, traceWriter io.Writer) (waxnode.Settings, error) {
+	s := waxnode.Settings{
+		InstanceID: v.GetString("instance-id"), FailureDomain: v.GetString("failure-domain"),
+		CallerAddress: v.GetString("caller-address"), PeerAddress: v.GetString("peer-address"),
+		PlatformAddress: v.GetString("platform-address"), SeedPeers: v.GetStringSlice("seed-peers"),
+		TraceWriter: traceWriter,
+	}
+	numbers := map[string]int64{}
+	for _, flag := range []string{"progress-timeout-ms", "list-interval-ms", "exceptions", "records"} {
+		n, err := number(v, flag)
+		if err != nil {
+			return s, err
+		}
+		numbers[flag] = n
+	}
+	s.ProgressTimeout = waxfleet.Millis(numbers["progress-timeout-ms"])
+	s.ListInterval = waxfleet.Millis(numbers["list-interval-ms"])
+	s.Exceptions = int(numbers["exceptions"])
+	s.Records = int(numbers["records"])
+	return s, s.Validate()
+}
+
+func init() {
+	register(&cobra.Command{
+		Use: "settings", Short: "Print the settings reference as a Markdown table", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			f := pflag.NewFlagSet("serve", pflag.ContinueOnError)
+			addFlags(f)
+			return writeReference(cmd.OutOrStdout(), f)
+		},
+	})
+}
+
+// writeReference writes docs/settings.md.
+func writeReference(w io.Writer, f *pflag.FlagSet) error {
+	if _, err := fmt.Fprint(w, "# Settings of waxrouter\n\nFlags win over environment variables. A bad value ends the process at start with result code 5001 and exit code 2.\n\n| flag | environment variable | default | meaning |\n|---|---|---|---|\n"); err != nil {
+		return err
+	}
+	var err error
+	f.VisitAll(func(flag *pflag.Flag) {
+		if err == nil {
+			_, err = fmt.Fprintf(w, "| `--%s` | `%s` | `%s` | %s |\n", flag.Name, envName(flag.Name), flag.DefValue, flag.Usage)
+		}
+	})
+	return err
+}
