waxstandin: add the platform stand-in

The router needs an Object API and an instance list to run against. This adds both, with faults, a history of the writes that took effect and an HTTP server whose connections can be refused, reset or silenced.

--- /dev/null
+++ b/waxstandin/waxplatform/handlers.go
@@ -0,0 +1,331 @@
+package waxplatform
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+	"waxwingdrift.org/waxfleet"
+)
+
+const (
+	headerInstance = "X-Wax-Instance"
+
+	// maxWait bounds the wait of a watch whatever its caller asks for.
+	maxWait waxfleet.Millis = 60_000
+)
+
+func (p *Platform) handler() http.Handler {
+	e := echo.New()
+	api := e.Group("", p.withFaults)
+	api.GET("/objects/:kind", p.listObjects)
+	api.GET("/objects/:kind/*", p.getObject)
+	api.PUT("/objects/:kind/*", p.putObject)
+	api.DELETE("/objects/:kind/*", p.deleteObject)
+	api.GET("/instances", p.listInstances)
+	admin := e.Group("/admin")
+	admin.PUT("/faults", p.putFaults)
+	admin.PUT("/instances/:id", p.putInstance)
+	admin.DELETE("/instances/:id", p.deleteInstance)
+	admin.GET("/history", func(c echo.Context) error { return c.JSON(http.StatusOK, p.History()) })
+	admin.GET("/counts", func(c echo.Context) error { return c.JSON(http.StatusOK, p.Counts()) })
+	return e
+}
+
+// withFaults counts the call and applies the faults that come before it takes
+// effect.
+func (p *Platform) withFaults(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		ctx := c.Request().Context()
+		allowed := p.allow(c.Request().Method)
+		p.holdIfCut(c)
+		faults, _ := p.current()
+		if err := p.clock.Sleep(ctx, faults.SlowBy/2); err != nil {
+			return err
+		}
+		if faults.Outage {
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
+		if !allowed {
+			return c.NoContent(http.StatusTooManyRequests)
+		}
+		return next(c)
+	}
+}
+
+// holdIfCut keeps a call of a cut-off client without an answer, and cuts its
+// connection when the fault ends.
+func (p *Platform) holdIfCut(c echo.Context) {
+	held := false
+	for {
+		faults, changed := p.current()
+		if !isCut(faults, c) {
+			break
+		}
+		held = true
+		select {
+		case <-changed:
+		case <-c.Request().Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+	}
+	if held {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func isCut(f Faults, c echo.Context) bool {
+	id := c.Request().Header.Get(headerInstance)
+	for _, cut := range f.CutFrom {
+		if id != "" && cut == id {
+			return true
+		}
+	}
+	return false
+}
+
+// beforeAnswer applies the faults that come after the call took effect.
+func (p *Platform) beforeAnswer(c echo.Context, wrote bool) error {
+	if wrote && p.losesAnswer() {
+		panic(http.ErrAbortHandler)
+	}
+	faults, _ := p.current()
+	return p.clock.Sleep(c.Request().Context(), faults.SlowBy-faults.SlowBy/2)
+}
+
+type objectEntry struct {
+	Name    string `json:"name"`
+	Version uint64 `json:"version"`
+	Value   []byte `json:"value"`
+}
+
+type objectList struct {
+	Objects []objectEntry `json:"objects"`
+}
+
+func (p *Platform) listObjects(c echo.Context) error {
+	kind, err := unescape(c, c.Param("kind"))
+	if err != nil {
+		return err
+	}
+	answer := objectList{Objects: []objectEntry{}}
+	for _, o := range p.store.list(kind) {
+		answer.Objects = append(answer.Objects, objectEntry{Name: o.Name(), Version: o.Version(), Value: o.Value()})
+		p.bytesOut.Add(int64(len(o.Value())))
+	}
+	if err := p.beforeAnswer(c, false); err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, answer)
+}
+
+func (p *Platform) getObject(c echo.Context) error {
+	kind, name, err := objectOf(c)
+	if err != nil {
+		return err
+	}
+	if c.QueryParam("after") != "" {
+		return p.watchObject(c, kind, name)
+	}
+	o, ok := p.store.get(kind, name)
+	if err := p.beforeAnswer(c, false); err != nil {
+		return err
+	}
+	if !ok {
+		return c.NoContent(http.StatusNotFound)
+	}
+	return p.sendObject(c, o)
+}
+
+func (p *Platform) watchObject(c echo.Context, kind, name string) error {
+	after, err := strconv.ParseUint(c.QueryParam("after"), 10, 64)
+	if err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, "after is not a version")
+	}
+	wait, err := strconv.ParseInt("0"+c.QueryParam("wait-ms"), 10, 64)
+	if err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, "wait-ms is not a number")
+	}
+	p.watchCount.Add(1)
+	defer p.watchCount.Add(-1)
+	ctx, cancel := context.WithCancel(c.Request().Context())
+	defer cancel()
+	timeout := make(chan struct{})
+	go func() {
+		if p.clock.Sleep(ctx, min(waxfleet.Millis(wait), maxWait)) == nil {
+			close(timeout)
+		}
+	}()
+	for {
+		o, next := p.store.watch(kind, name)
+		faults, changed := p.current()
+		p.holdIfCut(c)
+		if faults.Outage {
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
+		if o.Version() > after {
+			return p.sendObject(c, o)
+		}
+		select {
+		case <-next:
+		case <-changed:
+		case <-timeout:
+			return c.NoContent(http.StatusNotModified)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (p *Platform) sendObject(c echo.Context, o waxfleet.Object) error {
+	p.bytesOut.Add(int64(len(o.Value())))
+	c.Response().Header().Set("ETag", etag(o.Version()))
+	return c.Blob(http.StatusOK, echo.MIMEOctetStream, o.Value())
+}
+
+func (p *Platform) putObject(c echo.Context) error {
+	kind, name, err := objectOf(c)
+	if err != nil {
+		return err
+	}
+	version, err := condition(c)
+	if err != nil {
+		return err
+	}
+	value, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, waxfleet.MaxObjectBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return c.NoContent(http.StatusRequestEntityTooLarge)
+	}
+	if err != nil {
+		return err
+	}
+	p.bytesIn.Add(int64(len(value)))
+	newVersion, result := p.store.putIf(kind, name, value, version, c.Request().Header.Get(headerInstance))
+	if err := p.beforeAnswer(c, result == outcomeDone); err != nil {
+		return err
+	}
+	if result == outcomeConflict {
+		return c.NoContent(http.StatusPreconditionFailed)
+	}
+	c.Response().Header().Set("ETag", etag(newVersion))
+	return c.NoContent(http.StatusOK)
+}
+
+func (p *Platform) deleteObject(c echo.Context) error {
+	kind, name, err := objectOf(c)
+	if err != nil {
+		return err
+	}
+	version, err := condition(c)
+	if err != nil {
+		return err
+	}
+	result := p.store.deleteIf(kind, name, version, c.Request().Header.Get(headerInstance))
+	if err := p.beforeAnswer(c, result == outcomeDone); err != nil {
+		return err
+	}
+	switch result {
+	case outcomeMissing:
+		return c.NoContent(http.StatusNotFound)
+	case outcomeConflict:
+		return c.NoContent(http.StatusPreconditionFailed)
+	default:
+		return c.NoContent(http.StatusNoContent)
+	}
+}
+
+func (p *Platform) listInstances(c echo.Context) error {
+	shown := p.list.show()
+	if err := p.beforeAnswer(c, false); err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, shown)
+}
+
+func (p *Platform) putFaults(c echo.Context) error {
+	var f Faults
+	if err := c.Bind(&f); err != nil {
+		return err
+	}
+	p.SetFaults(f)
+	return c.NoContent(http.StatusNoContent)
+}
+
+// instanceBody is a router (with peer-address) or a backend server (with
+// service). With state alone it changes the state of a listed one.
+type instanceBody struct {
+	Service       string         `json:"service"`
+	FailureDomain string         `json:"failure-domain"`
+	Address       string         `json:"address"`
+	PeerAddress   string         `json:"peer-address"`
+	CallerAddress string         `json:"caller-address"`
+	State         waxfleet.State `json:"state"`
+}
+
+func (p *Platform) putInstance(c echo.Context) error {
+	var b instanceBody
+	if err := c.Bind(&b); err != nil {
+		return err
+	}
+	id := c.Param("id")
+	if b.PeerAddress != "" {
+		p.AddRouter(id, b.FailureDomain, b.PeerAddress, b.CallerAddress)
+	} else if b.Service != "" {
+		p.AddBackendServer(id, b.Service, b.FailureDomain, b.Address)
+	}
+	if b.State != "" {
+		p.SetState(id, b.State)
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (p *Platform) deleteInstance(c echo.Context) error {
+	p.Remove(c.Param("id"))
+	return c.NoContent(http.StatusNoContent)
+}
+
+// condition returns the version that a write requires; 0 stands for no object.
+func condition(c echo.Context) (uint64, error) {
+	h := c.Request().Header
+	if h.Get("If-None-Match") == "*" {
+		return 0, nil
+	}
+	match := h.Get("If-Match")
+	if match == "" {
+		return 0, echo.NewHTTPError(http.StatusPreconditionRequired, "If-Match or If-None-Match: * is required")
+	}
+	version, err := strconv.ParseUint(strings.Trim(match, `"`), 10, 64)
+	if err != nil || version == 0 {
+		return 0, echo.NewHTTPError(http.StatusBadRequest, "If-Match is not a version")
+	}
+	return version, nil
+}
+
+func etag(version uint64) string { return `"` + strconv.FormatUint(version, 10) + `"` }
+
+func objectOf(c echo.Context) (kind, name string, err error) {
+	if kind, err = unescape(c, c.Param("kind")); err != nil {
+		return "", "", err
+	}
+	name, err = unescape(c, c.Param("*"))
+	return kind, name, err
+}
+
+// unescape decodes a path parameter. The router of echo matches the raw path
+// when there is one, and leaves its parameters encoded.
+func unescape(c echo.Context, value string) (string, error) {
+	if c.Request().URL.RawPath == "" {
+		return value, nil
+	}
+	plain, err := url.PathUnescape(value)
+	if err != nil {
+		return "", echo.NewHTTPError(http.StatusBadRequest, "path is not properly encoded")
+	}
+	return plain, nil
+}
