--- a/waxstandin/waxplatform/handlers.go
+++ b/waxstandin/waxplatform/handlers.go
@@ -4,13 +4,13 @@
 	"context"
 	"io"
 	"net/http"
-	"net/url"
 	"strconv"
 	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxstandin/internal/waxserve"
 )
 
 const (
@@ -28,7 +28,7 @@
 	api.PUT("/objects/:kind/*", p.putObject)
 	api.DELETE("/objects/:kind/*", p.deleteObject)
 	api.GET("/instances", p.listInstances)
-	admin := e.Group("/admin")
+	admin := e.Group("/admin", waxserve.Admin)
 	admin.PUT("/faults", p.putFaults)
 	admin.PUT("/instances/:id", p.putInstance)
 	admin.DELETE("/instances/:id", p.deleteInstance)
@@ -109,7 +109,7 @@
 }
 
 func (p *Platform) listObjects(c echo.Context) error {
-	kind, err := unescape(c, c.Param("kind"))
+	kind, err := waxserve.PathParam(c, "kind")
 	if err != nil {
 		return err
 	}
@@ -250,7 +250,7 @@
 
 func (p *Platform) putFaults(c echo.Context) error {
 	var f Faults
-	if err := c.Bind(&f); err != nil {
+	if err := waxserve.BindJSON(c, &f); err != nil {
 		return err
 	}
 	p.SetFaults(f)
@@ -270,10 +270,13 @@
 
 func (p *Platform) putInstance(c echo.Context) error {
 	var b instanceBody
-	if err := c.Bind(&b); err != nil {
+	if err := waxserve.BindJSON(c, &b); err != nil {
+		return err
+	}
+	id, err := waxserve.PathParam(c, "id")
+	if err != nil {
 		return err
 	}
-	id := c.Param("id")
 	if b.PeerAddress != "" {
 		p.AddRouter(id, b.FailureDomain, b.PeerAddress, b.CallerAddress)
 	} else if b.Service != "" {
@@ -286,7 +289,11 @@
 }
 
 func (p *Platform) deleteInstance(c echo.Context) error {
-	p.Remove(c.Param("id"))
+	id, err := waxserve.PathParam(c, "id")
+	if err != nil {
+		return err
+	}
+	p.Remove(id)
 	return c.NoContent(http.StatusNoContent)
 }
 
@@ -310,22 +317,9 @@
 func etag(version uint64) string { return `"` + strconv.FormatUint(version, 10) + `"` }
 
 func objectOf(c echo.Context) (kind, name string, err error) {
-	if kind, err = unescape(c, c.Param("kind")); err != nil {
+	if kind, err = waxserve.PathParam(c, "kind"); err != nil {
 		return "", "", err
 	}
-	name, err = unescape(c, c.Param("*"))
+	name, err = waxserve.PathParam(c, "*")
 	return kind, name, err
 }
-
-// unescape decodes a path parameter. The router of echo matches the raw path
-// when there is one, and leaves its parameters encoded.
-func unescape(c echo.Context, value string) (string, error) {
-	if c.Request().URL.RawPath == "" {
-		return value, nil
-	}
-	plain, err := url.PathUnescape(value)
-	if err != nil {
-		return "", echo.NewHTTPError(http.StatusBadRequest, "path is not properly encoded")
-	}
-	return plain, nil
-}
