waxstandin: add the commands platform, engine and service

The stand-ins could only be started from Go code. Each has a command now, with flags, WAX_ variables and an optional listing at the stand-in platform.

--- /dev/null
+++ b/waxstandin/service.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"context"
+
+	"github.com/spf13/cobra"
+	"github.com/spf13/viper"
+	"waxwingdrift.org/waxstandin/waxservice"
+)
+
+const flagDelay = "delay"
+
+func init() {
+	cmd := &cobra.Command{
+		Use:   "service",
+		Short: "Run a server of a plain service",
+	}
+	addBackendFlags(cmd, "service")
+	cmd.Flags().Duration(flagDelay, 0, "time that a call takes")
+	register(cmd, startService)
+}
+
+func startService(ctx context.Context, settings *viper.Viper) (string, error) {
+	s, err := waxservice.New(ctx, waxservice.Options{
+		ID:            settings.GetString(flagID),
+		FailureDomain: settings.GetString(flagFailureDomain),
+		Address:       settings.GetString(flagAddress),
+		Seed:          settings.GetUint64(flagSeed),
+		Delay:         millis(settings, flagDelay),
+	})
+	if err != nil {
+		return "", err
+	}
+	return s.Address(), list(ctx, settings, s.Address())
+}
--- a/waxstandin/waxengine/engine.go
+++ b/waxstandin/waxengine/engine.go
@@ -22,6 +22,9 @@
 	DefaultReportLag              waxfleet.Millis = 500
 )
 
+// NoReportLag, as ReportLag of Options, makes reports current.
+const NoReportLag waxfleet.Millis = -1
+
 const (
 	// downTime is the time that a dead engine refuses connections.
 	downTime waxfleet.Millis = 1_000
@@ -57,8 +60,7 @@
 	ColdRequests int
 	// StartWarm makes the first incarnation warm.
 	StartWarm bool
-	// ReportLag is the age of GET /load and of GET /cache-events. Negative is
-	// no lag.
+	// ReportLag is the age of GET /load and of GET /cache-events.
 	ReportLag waxfleet.Millis
 	// CheckFencing refuses orders with an old fencing number.
 	CheckFencing bool
