--- a/waxstandin/root.go
+++ b/waxstandin/root.go
@@ -33,18 +33,28 @@
 	flags.Uint64(flagSeed, 1, "seed of all random decisions")
 	cmd.Args = cobra.NoArgs
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		settings := viper.New()
-		settings.SetEnvPrefix("WAX")
-		settings.SetEnvKeyReplacer(strings.NewReplacer("-", "_"))
-		settings.AutomaticEnv()
-		if err := settings.BindPFlags(cmd.Flags()); err != nil {
-			return errors.Wrap(err, "bind flags")
+		settings, err := settingsOf(cmd)
+		if err != nil {
+			return err
 		}
 		return serve(cmd.Context(), cmd.Name(), settings, start)
 	}
 	rootCommand.AddCommand(cmd)
 }
 
+// settingsOf reads the flags of a command; WAX_ variables stand in for those that
+// are not given.
+func settingsOf(cmd *cobra.Command) (*viper.Viper, error) {
+	settings := viper.New()
+	settings.SetEnvPrefix("WAX")
+	settings.SetEnvKeyReplacer(strings.NewReplacer("-", "_"))
+	settings.AutomaticEnv()
+	if err := settings.BindPFlags(cmd.Flags()); err != nil {
+		return nil, errors.Wrap(err, "bind flags")
+	}
+	return settings, nil
+}
+
 func serve(ctx context.Context, name string, settings *viper.Viper, start func(context.Context, *viper.Viper) (string, error)) error {
 	address, err := start(ctx, settings)
 	if err != nil {
--- a/waxstandin/waxengine/engine.go
+++ b/waxstandin/waxengine/engine.go
@@ -22,7 +22,7 @@
 	DefaultReportLag              waxfleet.Millis = 500
 )
 
-// NoReportLag, as ReportLag of Options, makes reports current.
+// NoReportLag is the ReportLag of reports that are current.
 const NoReportLag waxfleet.Millis = -1
 
 const (
--- a/waxstandin/waxplatform/handlers.go
+++ b/waxstandin/waxplatform/handlers.go
@@ -61,22 +61,21 @@
 // holdIfCut keeps a call of a cut-off client without an answer, and cuts its
 // connection when the fault ends.
 func (p *Platform) holdIfCut(c echo.Context) {
-	held := false
-	for {
-		faults, changed := p.current()
-		if !isCut(faults, c) {
-			break
-		}
-		held = true
+	faults, changed := p.current()
+	if !isCut(faults, c) {
+		return
+	}
+	p.heldCount.Add(1)
+	defer p.heldCount.Add(-1)
+	for isCut(faults, c) {
 		select {
 		case <-changed:
+			faults, changed = p.current()
 		case <-c.Request().Context().Done():
 			panic(http.ErrAbortHandler)
 		}
 	}
-	if held {
-		panic(http.ErrAbortHandler)
-	}
+	panic(http.ErrAbortHandler)
 }
 
 func isCut(f Faults, c echo.Context) bool {
--- a/waxstandin/waxplatform/platform.go
+++ b/waxstandin/waxplatform/platform.go
@@ -44,12 +44,13 @@
 	CutFrom []string `json:"cut-from"`
 }
 
-// Counts are the calls since the start, the watches that wait now and the bytes
-// of values and lists.
+// Counts are the calls since the start, the watches that wait now, the calls of
+// cut-off clients that are held now, and the bytes of object values.
 type Counts struct {
 	Reads    int64 `json:"reads"`
 	Writes   int64 `json:"writes"`
 	Watches  int64 `json:"watches"`
+	Held     int64 `json:"held"`
 	BytesIn  int64 `json:"bytes-in"`
 	BytesOut int64 `json:"bytes-out"`
 }
@@ -66,6 +67,7 @@
 	readCount  atomic.Int64
 	writeCount atomic.Int64
 	watchCount atomic.Int64
+	heldCount  atomic.Int64
 	bytesIn    atomic.Int64
 	bytesOut   atomic.Int64
 
@@ -132,6 +134,9 @@
 // Remove takes a router or backend server off the list.
 func (p *Platform) Remove(id string) { p.list.set(id, listed{}) }
 
+// Instances returns the list as GET /instances shows it now.
+func (p *Platform) Instances() Instances { return p.list.show() }
+
 // Put writes an object without a condition and returns its version.
 func (p *Platform) Put(kind, name string, value []byte) uint64 {
 	return p.store.put(kind, name, value, "")
@@ -159,6 +164,7 @@
 		Reads:    p.readCount.Load(),
 		Writes:   p.writeCount.Load(),
 		Watches:  p.watchCount.Load(),
+		Held:     p.heldCount.Load(),
 		BytesIn:  p.bytesIn.Load(),
 		BytesOut: p.bytesOut.Load(),
 	}
