--- a/waxstandin/internal/waxserve/request.go
+++ b/waxstandin/internal/waxserve/request.go
@@ -10,7 +10,19 @@
 
 // BindJSON decodes a JSON body whatever content type the request names.
 func BindJSON(c echo.Context, v any) error {
-	if err := json.NewDecoder(c.Request().Body).Decode(v); err != nil {
+	return decode(json.NewDecoder(c.Request().Body), v)
+}
+
+// BindStrict is BindJSON for admin calls. It refuses unknown fields, so that a
+// misspelt fault is not taken for one that is switched on.
+func BindStrict(c echo.Context, v any) error {
+	d := json.NewDecoder(c.Request().Body)
+	d.DisallowUnknownFields()
+	return decode(d, v)
+}
+
+func decode(d *json.Decoder, v any) error {
+	if err := d.Decode(v); err != nil {
 		return echo.NewHTTPError(http.StatusBadRequest, "body is not the expected JSON: "+err.Error())
 	}
 	return nil
--- a/waxstandin/internal/waxserve/server.go
+++ b/waxstandin/internal/waxserve/server.go
@@ -151,9 +151,9 @@
 	}
 }
 
-// holdAddress binds a socket that never listens. It keeps the port from other
-// users while the server refuses connections; the kernel answers connection
-// attempts with a reset then.
+// holdAddress binds a socket that never listens. While the server refuses
+// connections, the kernel does not hand the port out as a free one, and answers
+// connection attempts with a reset.
 func holdAddress(address string) (fd int, network, bound string, err error) {
 	a, err := net.ResolveTCPAddr("tcp", address)
 	if err != nil {
--- a/waxstandin/waxengine/engine_test.go
+++ b/waxstandin/waxengine/engine_test.go
@@ -342,6 +342,26 @@
 	is.True(strings.Contains(load(), `"cold":true,"leaving":true`))
 }
 
+// Guards against an engine that turned cold and falls over work from before,
+// which no router could have known to hold back.
+func TestTurnColdBearsOldWork(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, waxengine.Options{StartWarm: true})
+	before := r.Incarnation()
+	for n := 1; n <= 6; n++ {
+		if n == 4 {
+			r.SetFaults(waxengine.Faults{TurnCold: true})
+		}
+		r.start("POST", "/v1/chat/completions", "a", "", body(""))
+		if n < 6 {
+			r.waitInFlight(n)
+			is.Equal(r.Incarnation(), before)
+		}
+	}
+	r.waitInFlight(0)
+	is.True(r.Incarnation() > before) // the third request since it turned cold
+}
+
 // Guards against a poison request that spares the engine or its neighbours.
 func TestPoison(t *testing.T) {
 	is := is.New(t)
--- a/waxstandin/waxengine/handlers.go
+++ b/waxstandin/waxengine/handlers.go
@@ -186,7 +186,7 @@
 
 func (e *Engine) putFaults(c echo.Context) error {
 	var f Faults
-	if err := waxserve.BindJSON(c, &f); err != nil {
+	if err := waxserve.BindStrict(c, &f); err != nil {
 		return err
 	}
 	e.SetFaults(f)
--- a/waxstandin/waxplatform/handlers.go
+++ b/waxstandin/waxplatform/handlers.go
@@ -249,7 +249,7 @@
 
 func (p *Platform) putFaults(c echo.Context) error {
 	var f Faults
-	if err := waxserve.BindJSON(c, &f); err != nil {
+	if err := waxserve.BindStrict(c, &f); err != nil {
 		return err
 	}
 	p.SetFaults(f)
@@ -269,7 +269,7 @@
 
 func (p *Platform) putInstance(c echo.Context) error {
 	var b instanceBody
-	if err := waxserve.BindJSON(c, &b); err != nil {
+	if err := waxserve.BindStrict(c, &b); err != nil {
 		return err
 	}
 	id, err := waxserve.PathParam(c, "id")
--- a/waxstandin/waxservice/handlers.go
+++ b/waxstandin/waxservice/handlers.go
@@ -169,7 +169,7 @@
 
 func (s *Service) putFaults(c echo.Context) error {
 	var f Faults
-	if err := waxserve.BindJSON(c, &f); err != nil {
+	if err := waxserve.BindStrict(c, &f); err != nil {
 		return err
 	}
 	s.SetFaults(f)
