waxengine: tell cold load and deaths in the history

A checker could not tell work from before a cold turn from work that broke the cold window, nor a cancelled run from one that died. The events say both now.

--- a/waxstandin/waxengine/engine_test.go
+++ b/waxstandin/waxengine/engine_test.go
@@ -359,6 +359,9 @@
 		}
 	}
 	r.waitInFlight(0)
+	is.Equal(r.History()[5].InFlight, 6)
+	is.Equal(r.History()[5].ColdInFlight, 3)
+	is.True(r.History()[6].Died)
 	is.True(r.Incarnation() > before) // the third request since it turned cold
 }
 
--- a/waxstandin/waxengine/history.go
+++ b/waxstandin/waxengine/history.go
@@ -28,6 +28,9 @@
 	Cold    bool `json:"cold"`
 	Window  int  `json:"window"`
 	Leaving bool `json:"leaving"`
+	// ColdInFlight counts those of InFlight that came since the engine is cold;
+	// the cold window bounds them. It is 0 while the engine is warm.
+	ColdInFlight int `json:"cold-in-flight"`
 	// PromptTokens and CachedTokens are known at the end; a run that never
 	// left the queue has no cached tokens.
 	PromptTokens int    `json:"prompt-tokens"`
@@ -35,6 +38,8 @@
 	PromptDigest string `json:"prompt-digest"`
 	// Whole, at the end, says that all tokens were produced.
 	Whole bool `json:"whole"`
+	// Died, at the end, says that the incarnation ended with the run.
+	Died bool `json:"died"`
 	// FirstToken and Tokens, at the end, are the index of the first token of
 	// the answer and the number of tokens that were produced.
 	FirstToken int `json:"first-token"`
@@ -63,10 +68,12 @@
 		Cold:         e.cold,
 		Window:       e.windowLocked(),
 		Leaving:      e.faults.Leaving,
+		ColdInFlight: e.coldLoadLocked(),
 		PromptTokens: r.prompt.tokens,
 		CachedTokens: r.cachedTokens,
 		PromptDigest: r.prompt.digest,
 		Whole:        kind == EventEnd && now.state == runDone,
+		Died:         kind == EventEnd && now.state == runDied,
 		FirstToken:   r.prompt.first,
 		Tokens:       now.produced - r.prompt.first,
 		Chat:         r.request.Chat,
--- a/waxstandin/waxengine/run.go
+++ b/waxstandin/waxengine/run.go
@@ -192,7 +192,12 @@
 	return ""
 }
 
+// coldLoadLocked counts the requests in flight that came since the engine is
+// cold.
 func (e *Engine) coldLoadLocked() int {
+	if !e.cold {
+		return 0
+	}
 	n := 0
 	for r := range e.inFlight {
 		if !r.borne {
