--- /dev/null
+++ b/waxfleet/waxconfig/limits.go
@@ -0,0 +1,28 @@
+package waxconfig
+
+import "waxwingdrift.org/waxfleet"
+
+type limitsValue struct {
+	LoadFactor   float64 `json:"load-factor" validate:"gte=1,lte=10"`
+	LoadFloor    int     `json:"load-floor" validate:"gte=1,lte=10000"`
+	QueueLength  int     `json:"queue-length" validate:"gte=0,lte=100000"`
+	ColdWindow   int     `json:"cold-window" validate:"gte=1,lte=10000"`
+	MaxBodyBytes int64   `json:"max-body-bytes" validate:"gte=1024,lte=67108864"`
+}
+
+var defaultLimits = limitsValue{LoadFactor: 1.25, LoadFloor: 4, QueueLength: 64, ColdWindow: 8, MaxBodyBytes: 4 << 20}
+
+var limitsSection = section{
+	name:     SectionLimits,
+	defaults: `{"load-factor": 1.25, "load-floor": 4, "queue-length": 64, "cold-window": 8, "max-body-bytes": 4194304}`,
+	decode:   decodeLimits,
+	reuse:    func(d, from *Document) { d.limits = from.limits },
+	check:    func(*Document, *report) {},
+}
+
+func decodeLimits(d *Document, r *report, raw []byte) {
+	value := defaultLimits
+	if decodeValue(r, SectionLimits, "", raw, &value) {
+		d.limits = waxfleet.NewLimits(value.LoadFactor, value.LoadFloor, value.QueueLength, value.ColdWindow, value.MaxBodyBytes)
+	}
+}
--- /dev/null
+++ b/waxfleet/waxconfig/rules.go
@@ -0,0 +1,117 @@
+package waxconfig
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"waxwingdrift.org/waxfleet"
+)
+
+// rulesValue is the section. draining names backend servers that get no new
+// work, whatever the rules say.
+type rulesValue struct {
+	Rules    []json.RawMessage `json:"rules" validate:"max=1024"`
+	Draining []string          `json:"draining" validate:"max=4096,unique,dive,min=1,max=200,printascii"`
+}
+
+// ruleEntry is one rule. An empty list matches everything.
+type ruleEntry struct {
+	Services       []string `json:"services" validate:"max=256,unique"`
+	Models         []string `json:"models" validate:"max=256,unique"`
+	Workspaces     []string `json:"workspaces" validate:"max=4096,unique"`
+	FailureDomains []string `json:"failure-domains" validate:"max=64,unique"`
+	Action         string   `json:"action" validate:"required,oneof=allow deny"`
+}
+
+// nameSet is a set of names; nil holds every name.
+type nameSet map[string]struct{}
+
+func newNameSet(names []string) nameSet {
+	if len(names) == 0 {
+		return nil
+	}
+	set := make(nameSet, len(names))
+	for _, name := range names {
+		set[name] = struct{}{}
+	}
+	return set
+}
+
+func (s nameSet) matches(name string) bool {
+	if s == nil {
+		return true
+	}
+	_, ok := s[name]
+	return ok
+}
+
+type rule struct {
+	services   nameSet
+	models     nameSet
+	workspaces nameSet
+	domains    nameSet
+	allow      bool
+}
+
+func newRule(e ruleEntry) rule {
+	return rule{
+		services:   newNameSet(e.Services),
+		models:     newNameSet(e.Models),
+		workspaces: newNameSet(e.Workspaces),
+		domains:    newNameSet(e.FailureDomains),
+		allow:      e.Action == "allow",
+	}
+}
+
+func (u rule) matches(workspace, model string, b waxfleet.BackendServer) bool {
+	return u.services.matches(b.Service()) && u.models.matches(model) &&
+		u.workspaces.matches(workspace) && u.domains.matches(b.FailureDomain())
+}
+
+type rulesPart struct {
+	entries  []ruleEntry
+	rules    []rule
+	draining map[string]struct{}
+}
+
+var rulesSection = section{
+	name:     SectionRules,
+	defaults: `{"rules": [], "draining": []}`,
+	decode:   decodeRules,
+	reuse:    func(d, from *Document) { d.rules = from.rules },
+	check:    checkRules,
+}
+
+func decodeRules(d *Document, r *report, raw []byte) {
+	part := &rulesPart{draining: map[string]struct{}{}}
+	d.rules = part
+	var value rulesValue
+	if !decodeValue(r, SectionRules, "", raw, &value) {
+		return
+	}
+	for i, rawRule := range value.Rules {
+		var e ruleEntry
+		if !decodeValue(r, SectionRules, rulePath(i), rawRule, &e) {
+			continue
+		}
+		part.entries = append(part.entries, e)
+		part.rules = append(part.rules, newRule(e))
+	}
+	for _, id := range value.Draining {
+		part.draining[id] = struct{}{}
+	}
+}
+
+func rulePath(i int) string { return fmt.Sprintf("rules[%d]", i) }
+
+// checkRules refuses names that no section defines: a rule with a misspelt
+// name would never match and so let work through that it was meant to deny.
+func checkRules(d *Document, r *report) {
+	for i, e := range d.rules.entries {
+		path := rulePath(i)
+		checkKnown(r, SectionRules, path+".services", e.Services, SectionServices, d.services.byName)
+		checkKnown(r, SectionRules, path+".models", e.Models, SectionServices, d.services.byModel)
+		checkKnown(r, SectionRules, path+".workspaces", e.Workspaces, SectionWorkspaces, d.workspaces.byName)
+		checkKnown(r, SectionRules, path+".failure-domains", e.FailureDomains, SectionFailureDomains, d.domains.byName)
+	}
+}
