waxconfig: script the tests of the document and of edits

Cause: the sections and the editor had no tests. Change: add datadriven scripts for validation, conflicts, lost answers and the bounds of the head; name section and path in every message.

--- a/waxfleet/waxconfig/canonical.go
+++ b/waxfleet/waxconfig/canonical.go
@@ -34,7 +34,7 @@
 			"the document has %d bytes; allowed: at most %d", len(raw), waxfleet.MaxObjectBytes)
 	}
 	if err := checkTokens(raw); err != nil {
-		return nil, waxfleet.NewError(waxfleet.CodeConfigInvalid, "%v", err)
+		return nil, err.coded("", err.path)
 	}
 	var value any
 	if err := json.Unmarshal(raw, &value); err != nil {
@@ -59,27 +59,46 @@
 	return bytes.TrimRight(buf.Bytes(), "\n"), nil
 }
 
+// tokenError is a fault that checkTokens found.
+type tokenError struct {
+	path  []string
+	fault string
+}
+
+func newTokenError(path []string, format string, args ...any) *tokenError {
+	return &tokenError{path: path, fault: fmt.Sprintf(format, args...)}
+}
+
+// coded returns the error for a caller. prefix names the section, if known, and
+// at is the path in it.
+func (e *tokenError) coded(prefix string, at []string) error {
+	if e.path == nil {
+		return waxfleet.NewError(waxfleet.CodeConfigInvalid, "%s", e.fault)
+	}
+	return waxfleet.NewError(waxfleet.CodeConfigInvalid, "%spath %s: %s", prefix, joinPath(at), e.fault)
+}
+
 // checkTokens refuses what encoding/json accepts without a word: repeated
 // names, names in another form than namePattern, null and trailing data.
-func checkTokens(raw []byte) error {
+func checkTokens(raw []byte) *tokenError {
 	dec := json.NewDecoder(bytes.NewReader(raw))
 	dec.UseNumber()
-	if err := checkValue(dec, nil); err != nil {
+	if err := checkValue(dec, []string{}); err != nil {
 		return err
 	}
 	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return errors.New("the document is not JSON: data after its end; allowed: one JSON value")
+		return newTokenError(nil, "the document is not JSON: data after its end; allowed: one JSON value")
 	}
 	return nil
 }
 
-func checkValue(dec *json.Decoder, path []string) error {
+func checkValue(dec *json.Decoder, path []string) *tokenError {
 	token, err := dec.Token()
 	if err != nil {
-		return errors.Newf("the document is not JSON: %v", err)
+		return notJSON(err)
 	}
 	if token == nil {
-		return errors.Newf("path %s: value null; allowed: a value, or leave the name out", joinPath(path))
+		return newTokenError(path, "value null; allowed: a value, or leave the name out")
 	}
 	switch token {
 	case json.Delim('{'):
@@ -90,23 +109,20 @@
 	return nil
 }
 
-func checkObject(dec *json.Decoder, path []string) error {
+func checkObject(dec *json.Decoder, path []string) *tokenError {
 	seen := map[string]bool{}
 	for dec.More() {
 		token, err := dec.Token()
 		if err != nil {
-			return errors.Newf("the document is not JSON: %v", err)
-		}
-		name, ok := token.(string)
-		if !ok {
-			return errors.Newf("the document is not JSON: name %v", token)
+			return notJSON(err)
 		}
+		name := fmt.Sprint(token)
 		at := slices.Concat(path, []string{name})
 		if !namePattern.MatchString(name) {
-			return errors.Newf("path %s: name %q; allowed: %s", joinPath(at), name, allowedName)
+			return newTokenError(at, "name %q; allowed: %s", name, allowedName)
 		}
 		if seen[name] {
-			return errors.Newf("path %s: name %q occurs twice; allowed: once", joinPath(at), name)
+			return newTokenError(at, "name %q occurs twice; allowed: once", name)
 		}
 		seen[name] = true
 		if err := checkValue(dec, at); err != nil {
@@ -116,23 +132,24 @@
 	return closeValue(dec)
 }
 
-func checkArray(dec *json.Decoder, path []string) error {
+func checkArray(dec *json.Decoder, path []string) *tokenError {
 	for i := 0; dec.More(); i++ {
-		at := slices.Concat(path, []string{fmt.Sprintf("[%d]", i)})
-		if err := checkValue(dec, at); err != nil {
+		if err := checkValue(dec, slices.Concat(path, []string{fmt.Sprintf("[%d]", i)})); err != nil {
 			return err
 		}
 	}
 	return closeValue(dec)
 }
 
-func closeValue(dec *json.Decoder) error {
+func closeValue(dec *json.Decoder) *tokenError {
 	if _, err := dec.Token(); err != nil {
-		return errors.Newf("the document is not JSON: %v", err)
+		return notJSON(err)
 	}
 	return nil
 }
 
+func notJSON(err error) *tokenError { return newTokenError(nil, "the document is not JSON: %v", err) }
+
 func joinPath(path []string) string {
 	if len(path) == 0 {
 		return "(top)"
--- a/waxfleet/waxconfig/document.go
+++ b/waxfleet/waxconfig/document.go
@@ -57,7 +57,10 @@
 // Errors: as NewDocument.
 func ParseDocument(version uint64, raw []byte) (*Document, error) {
 	if err := checkTokens(raw); err != nil {
-		return nil, waxfleet.NewError(waxfleet.CodeConfigInvalid, "%v", err)
+		if len(err.path) == 0 {
+			return nil, err.coded("", nil)
+		}
+		return nil, err.coded("section "+err.path[0]+", ", err.path[1:])
 	}
 	var parts map[string]json.RawMessage
 	if err := json.Unmarshal(raw, &parts); err != nil {
--- /dev/null
+++ b/waxfleet/waxconfig/editor_test.go
@@ -0,0 +1,157 @@
+package waxconfig
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxobject/waxmemory"
+)
+
+func newTestEditor(store waxfleet.ObjectStore) *Editor {
+	return NewEditor(store, waxfleet.NewClock(), slog.New(slog.DiscardHandler))
+}
+
+func setSection(value string) func([]byte) ([]byte, error) {
+	return func([]byte) ([]byte, error) { return []byte(value), nil }
+}
+
+var faultNames = map[string]waxmemory.Fault{
+	"outage":       waxmemory.FaultOutage,
+	"rate-limited": waxmemory.FaultRateLimited,
+	"conflict":     waxmemory.FaultConflict,
+	"lost-answer":  waxmemory.FaultLostAnswer,
+	"lost-call":    waxmemory.FaultLostCall,
+	"late-write":   waxmemory.FaultLateWrite,
+}
+
+// headFaults returns a hook that applies one fault after the other to the
+// writes of the head and then none.
+func headFaults(faults []waxmemory.Fault) func(waxmemory.Call) waxmemory.Fault {
+	return func(c waxmemory.Call) waxmemory.Fault {
+		if c.Verb != waxmemory.VerbPut || c.Kind != waxfleet.ObjectKindConfig || len(faults) == 0 {
+			return waxmemory.FaultNone
+		}
+		fault := faults[0]
+		faults = faults[1:]
+		return fault
+	}
+}
+
+// editScript runs the commands of one file in testdata/edit.
+type editScript struct {
+	store  *waxmemory.Store
+	editor *Editor
+}
+
+// TestEdit guards against edits that are lost, made twice or refused although
+// they are in force, and against patches beyond their bounds.
+func TestEdit(t *testing.T) {
+	datadriven.Walk(t, "testdata/edit", func(t *testing.T, path string) {
+		store := waxmemory.NewStore(waxfleet.NewClock())
+		s := &editScript{store: store, editor: newTestEditor(store)}
+		datadriven.RunTest(t, path, s.run)
+	})
+}
+
+func (s *editScript) run(t *testing.T, d *datadriven.TestData) string {
+	ctx := context.Background()
+	switch d.Cmd {
+	case "edit":
+		return s.edit(ctx, t, d)
+	case "fill":
+		var section string
+		var from, to int
+		d.ScanArgs(t, "section", &section)
+		d.ScanArgs(t, "from", &from)
+		d.ScanArgs(t, "to", &to)
+		for i := from; i <= to; i++ {
+			if _, err := s.editor.Edit(ctx, section, setSection(fmt.Sprintf(`{"queue-length": %d}`, i))); err != nil {
+				return describe(err)
+			}
+		}
+		return "ok\n"
+	case "head":
+		snap, err := s.editor.Read(ctx)
+		if err != nil {
+			return describe(err)
+		}
+		return showHead(snap)
+	case "objects":
+		all, err := s.store.List(ctx, waxfleet.ObjectKindConfigSection)
+		if err != nil {
+			return describe(err)
+		}
+		return fmt.Sprintf("%d\n", len(all))
+	}
+	t.Fatalf("unknown command %s", d.Cmd)
+	return ""
+}
+
+// edit runs one edit. With the argument race, another edit of that section is
+// made after the first one has read the configuration.
+func (s *editScript) edit(ctx context.Context, t *testing.T, d *datadriven.TestData) string {
+	var section, race string
+	d.ScanArgs(t, "section", &section)
+	d.MaybeScanArgs(t, "race", &race)
+	var faults []waxmemory.Fault
+	for _, arg := range d.CmdArgs {
+		if arg.Key == "faults" {
+			for _, name := range arg.Vals {
+				faults = append(faults, faultNames[name])
+			}
+		}
+	}
+	value, other, _ := strings.Cut(d.Input, "---")
+	version, err := s.editor.Edit(ctx, section, func([]byte) ([]byte, error) {
+		if race != "" {
+			if _, err := s.editor.Edit(ctx, race, setSection(other)); err != nil {
+				return nil, err
+			}
+		}
+		s.store.SetFault(headFaults(faults))
+		return []byte(value), nil
+	})
+	s.store.SetFault(nil)
+	s.store.RunLateWrites()
+	var conflict *ConflictError
+	if errors.As(err, &conflict) {
+		return fmt.Sprintf("%sbase %d %s\ncurrent %d %s\nyours %s\n", describe(err), conflict.BaseVersion(), conflict.Base(),
+			conflict.CurrentVersion(), conflict.Current(), conflict.Yours())
+	}
+	if err != nil {
+		code := waxfleet.CodeOf(err)
+		return fmt.Sprintf("%d %s\n", code, code.Name())
+	}
+	current, readErr := s.editor.Read(ctx)
+	if readErr != nil {
+		return describe(readErr)
+	}
+	return fmt.Sprintf("in force=%v\n", current.Version() >= version && version > 0)
+}
+
+func showHead(snap Snapshot) string {
+	var b bytes.Buffer
+	for _, name := range Sections() {
+		if snap.Revision(name) > 0 {
+			raw, _ := snap.Section(name)
+			fmt.Fprintf(&b, "%s revision=%d %.60s\n", name, snap.Revision(name), raw)
+		}
+	}
+	size := 0
+	for _, p := range snap.head.Patches {
+		size += len(p.Merge)
+	}
+	fmt.Fprintf(&b, "patches=%d within-bytes=%v\n", len(snap.head.Patches), size <= maxPatchBytes)
+	if n := len(snap.head.Patches); n > 0 {
+		fmt.Fprintf(&b, "last=%.60s\n", snap.head.Patches[n-1].Merge)
+	}
+	return b.String()
+}
--- a/waxfleet/waxconfig/report.go
+++ b/waxfleet/waxconfig/report.go
@@ -7,6 +7,7 @@
 	"reflect"
 	"slices"
 	"strings"
+	"unicode"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-playground/validator/v10"
@@ -44,6 +45,9 @@
 		r.dropped++
 		return
 	}
+	if path == "" {
+		path = "(top)"
+	}
 	r.problems = append(r.problems, problem{
 		section: section, path: path, value: showValue(value), allowed: fmt.Sprintf(format, args...),
 	})
@@ -182,7 +186,6 @@
 	"gte":         "a number of at least %s",
 	"lt":          "a number below %s",
 	"lte":         "a number of at most %s",
-	"ltefield":    "at most the value of %s",
 	"startswith":  "a text that starts with %s",
 	"len":         "exactly %s characters",
 	"hexadecimal": "hexadecimal digits",
@@ -198,6 +201,8 @@
 		return fmt.Sprintf("at least %s %s", f.Param(), countedUnit(f.Kind()))
 	case "max":
 		return fmt.Sprintf("at most %s %s", f.Param(), countedUnit(f.Kind()))
+	case "ltefield":
+		return "at most the value of " + kebab(f.Param())
 	}
 	text, ok := ruleTexts[f.Tag()]
 	if !ok {
@@ -209,6 +214,18 @@
 	return text
 }
 
+// kebab returns the name in the document of a Go field.
+func kebab(goName string) string {
+	var b strings.Builder
+	for i, c := range goName {
+		if unicode.IsUpper(c) && i > 0 {
+			b.WriteByte('-')
+		}
+		b.WriteRune(unicode.ToLower(c))
+	}
+	return b.String()
+}
+
 func countedUnit(kind reflect.Kind) string {
 	if kind == reflect.String {
 		return "characters"
