--- a/waxfleet/waxconfig/editor_test.go
+++ b/waxfleet/waxconfig/editor_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/datadriven"
 
@@ -15,8 +16,16 @@
 	"waxwingdrift.org/waxfleet/waxobject/waxmemory"
 )
 
-func newTestEditor(store waxfleet.ObjectStore) *Editor {
-	return NewEditor(store, waxfleet.NewClock(), slog.New(slog.DiscardHandler))
+// newTestEditor returns an editor whose delays cost no real time.
+func newTestEditor(t *testing.T, store waxfleet.ObjectStore) *Editor {
+	clock := waxfleet.NewManualClock(0)
+	go func() {
+		for t.Context().Err() == nil {
+			clock.Advance(100)
+			time.Sleep(100 * time.Microsecond) // leaves the processor to the test
+		}
+	}()
+	return NewEditor(store, clock, slog.New(slog.DiscardHandler))
 }
 
 func setSection(value string) func([]byte) ([]byte, error) {
@@ -56,7 +65,7 @@
 func TestEdit(t *testing.T) {
 	datadriven.Walk(t, "testdata/edit", func(t *testing.T, path string) {
 		store := waxmemory.NewStore(waxfleet.NewClock())
-		s := &editScript{store: store, editor: newTestEditor(store)}
+		s := &editScript{store: store, editor: newTestEditor(t, store)}
 		datadriven.RunTest(t, path, s.run)
 	})
 }
--- /dev/null
+++ b/waxfleet/waxconfig/race_test.go
@@ -0,0 +1,233 @@
+package waxconfig
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/matryer/is"
+
+	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxobject/waxmemory"
+)
+
+type editInput struct {
+	section string
+	value   string
+	read    bool
+}
+
+// editOutput is what a client saw. For an edit, base is the section that it
+// started from; for a read or a conflict it is the section in force.
+type editOutput struct {
+	code    waxfleet.Code
+	version uint64
+	base    string
+}
+
+type configState struct {
+	version  uint64
+	sections [2]string
+}
+
+var raceSections = []string{SectionLimits, SectionFailureDomains}
+
+func sectionIndex(name string) int {
+	if name == raceSections[0] {
+		return 0
+	}
+	return 1
+}
+
+// configModel is a document with one version in which each edit compares and
+// swaps its section.
+var configModel = (&porcupine.NondeterministicModel{
+	Init: func() []any { return []any{configState{sections: [2]string{startValue(0), startValue(1)}}} },
+	Step: func(state, input, output any) []any {
+		s, in, out := state.(configState), input.(editInput), output.(editOutput)
+		i := sectionIndex(in.section)
+		same := s.sections[i] == out.base
+		next := configState{version: out.version, sections: s.sections}
+		next.sections[i] = in.value
+		switch {
+		case in.read && same && s.version == out.version:
+			return []any{s}
+		case in.read:
+		case out.code == waxfleet.CodeOK && same && out.version > s.version:
+			return []any{next}
+		case out.code == waxfleet.CodeConfigConflict && same && out.version >= s.version:
+			return []any{s}
+		case out.code == waxfleet.CodePlatformUnknown:
+			next.version = s.version
+			return []any{s, next}
+		case out.code == waxfleet.CodePlatformUnreachable:
+			return []any{s}
+		}
+		return nil
+	},
+	Equal: func(a, b any) bool { return a == b },
+}).ToModel()
+
+func startValue(i int) string { return string(defaultSections[raceSections[i]]) }
+
+func raceValue(section string, client, round int) string {
+	if section == SectionLimits {
+		return fmt.Sprintf(`{"queue-length":%d}`, 1000*client+round+1)
+	}
+	return fmt.Sprintf(`{"d%d-%d":{"state":"out"}}`, client, round)
+}
+
+// history records what clients saw, in the form that porcupine checks.
+type history struct {
+	mu  sync.Mutex
+	ops []porcupine.Operation
+}
+
+func (h *history) add(client int, call time.Time, in editInput, out editOutput) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ops = append(h.ops, porcupine.Operation{
+		ClientId: client, Input: in, Call: call.UnixNano(), Output: out, Return: time.Now().UnixNano(),
+	})
+}
+
+func (h *history) edit(e *Editor, client int, section, value string, ready func()) waxfleet.Code {
+	call := time.Now()
+	out := editOutput{}
+	version, err := e.Edit(context.Background(), section, func(current []byte) ([]byte, error) {
+		out.base = string(current)
+		ready()
+		return []byte(value), nil
+	})
+	out.code, out.version = waxfleet.CodeOf(err), version
+	var c *ConflictError
+	if errors.As(err, &c) {
+		out.base, out.version = string(c.Current()), c.CurrentVersion()
+	}
+	h.add(client, call, editInput{section: section, value: value}, out)
+	return out.code
+}
+
+func (h *history) read(t *testing.T, e *Editor, client int, section string) {
+	call := time.Now()
+	snap, err := e.Read(context.Background())
+	if err != nil {
+		t.Errorf("read: %v", err)
+		return
+	}
+	raw, _ := snap.Section(section)
+	h.add(client, call, editInput{section: section, read: true}, editOutput{version: snap.Version(), base: string(raw)})
+}
+
+// TestSectionsRace guards against an edit that is lost because another section
+// was edited at the same time.
+func TestSectionsRace(t *testing.T) {
+	is := is.New(t)
+	store := waxmemory.NewStore(waxfleet.NewClock())
+	h := &history{}
+	var wg sync.WaitGroup
+	for client, section := range raceSections {
+		wg.Go(func() {
+			e := newTestEditor(t, store)
+			for round := range 25 {
+				if code := h.edit(e, client, section, raceValue(section, client, round), func() {}); code != waxfleet.CodeOK {
+					t.Errorf("round %d of section %s: %s", round, section, code.Name())
+				}
+				h.read(t, e, client, raceSections[1-client])
+			}
+		})
+	}
+	wg.Wait()
+	is.True(porcupine.CheckOperations(configModel, h.ops)) // no edit is lost
+}
+
+// TestSameSectionRace guards against two editors of one section that both win,
+// or both lose. Both have read the section before either writes.
+func TestSameSectionRace(t *testing.T) {
+	is := is.New(t)
+	store := waxmemory.NewStore(waxfleet.NewClock())
+	h := &history{}
+	for round := range 15 {
+		codes := make([]waxfleet.Code, 2)
+		var started, wg sync.WaitGroup
+		started.Add(2)
+		for client := range 2 {
+			wg.Go(func() {
+				value := raceValue(SectionLimits, client, round)
+				codes[client] = h.edit(newTestEditor(t, store), client, SectionLimits, value, func() { started.Done(); started.Wait() })
+			})
+		}
+		wg.Wait()
+		is.Equal(codes[0]+codes[1], waxfleet.CodeConfigConflict) // one winner, one conflict
+	}
+	is.True(porcupine.CheckOperations(configModel, h.ops))
+}
+
+// TestLostAnswersRace guards against edits that a lost or late answer makes
+// twice, and against a conflict of an editor with its own edit: each section
+// has one editor only, so no conflict is true.
+func TestLostAnswersRace(t *testing.T) {
+	faults := []waxmemory.Fault{
+		waxmemory.FaultNone, waxmemory.FaultNone, waxmemory.FaultLostAnswer, waxmemory.FaultLostCall,
+		waxmemory.FaultLateWrite, waxmemory.FaultConflict, waxmemory.FaultOutage,
+	}
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			is := is.New(t)
+			store := waxmemory.NewStore(waxfleet.NewClock())
+			rng := rand.New(rand.NewPCG(seed, 1))
+			store.SetFault(func(c waxmemory.Call) waxmemory.Fault {
+				if c.Verb != waxmemory.VerbPut {
+					return waxmemory.FaultNone
+				}
+				return faults[rng.IntN(len(faults))]
+			})
+			h := &history{}
+			var wg sync.WaitGroup
+			for client, section := range raceSections {
+				wg.Go(func() {
+					e := newTestEditor(t, store)
+					for round := range 12 {
+						if code := h.edit(e, client, section, raceValue(section, client, round), func() {}); code == waxfleet.CodeConfigConflict {
+							t.Errorf("round %d of section %s: conflict without another editor", round, section)
+						}
+						h.read(t, e, client, raceSections[1-client])
+					}
+				})
+			}
+			wg.Wait()
+			is.True(porcupine.CheckOperations(configModel, h.ops))
+		})
+	}
+}
+
+// TestModelRejects guards the check itself: it must reject a lost edit, a
+// double winner, and a version that goes down.
+func TestModelRejects(t *testing.T) {
+	limits, domains := raceSections[0], raceSections[1]
+	edit := func(section, base, value string, version uint64) porcupine.Operation {
+		return porcupine.Operation{Input: editInput{section: section, value: value}, Output: editOutput{version: version, base: base}}
+	}
+	read := func(section, value string, version uint64) porcupine.Operation {
+		return porcupine.Operation{Input: editInput{section: section, read: true}, Output: editOutput{version: version, base: value}}
+	}
+	for name, ops := range map[string][]porcupine.Operation{
+		"lost edit":     {edit(limits, startValue(0), "a", 1), edit(domains, startValue(1), "b", 2), read(limits, startValue(0), 2)},
+		"two winners":   {edit(limits, startValue(0), "a", 1), edit(limits, startValue(0), "b", 2)},
+		"version falls": {edit(limits, startValue(0), "a", 2), edit(domains, startValue(1), "b", 1)},
+		"false refusal": {{Input: editInput{section: limits, value: "a"}, Output: editOutput{code: waxfleet.CodeConfigConflict, base: "x"}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for i := range ops {
+				ops[i].Call, ops[i].Return = int64(2*i), int64(2*i+1)
+			}
+			is.True(!porcupine.CheckOperations(configModel, ops))
+		})
+	}
+}
