waxctl: add the operators' command

Cause: operators had no way to read and edit the configuration, to take a failure domain or a backend server out, or to look into the routers.

--- /dev/null
+++ b/waxctl/domain.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"context"
+
+	"github.com/spf13/cobra"
+
+	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxconfig"
+)
+
+func init() { register(newDomain) }
+
+func newDomain(a *app) *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "domain",
+		Short: "Take a failure domain out of service or bring it back",
+		Args:  usageArgs(cobra.NoArgs),
+		RunE:  func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+	}
+	cmd.AddCommand(
+		newDomainState(a, "out NAME", "Give the failure domain no new work", waxconfig.StateOut),
+		newDomainState(a, "in NAME", "Give the failure domain work again", waxconfig.StateIn),
+	)
+	return cmd
+}
+
+func newDomainState(a *app, use, short, state string) *cobra.Command {
+	return &cobra.Command{
+		Use:   use,
+		Short: short,
+		Args:  usageArgs(cobra.ExactArgs(1)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return a.edit(cmd.Context(), waxconfig.SectionFailureDomains, func(ctx context.Context, e *waxconfig.Editor) (uint64, error) {
+				if err := a.checkDomain(ctx, e, args[0]); err != nil {
+					return 0, err
+				}
+				return e.Edit(ctx, waxconfig.SectionFailureDomains, waxconfig.SetDomainState(args[0], state))
+			})
+		},
+	}
+}
+
+// checkDomain refuses a name that neither the configuration nor the instance
+// list has: with a misspelt name the real domain would go on serving. Without
+// an instance list the name is taken as it is, because a domain may have to go
+// out just then.
+func (a *app) checkDomain(ctx context.Context, e *waxconfig.Editor, name string) error {
+	snap, err := e.Read(ctx)
+	if err != nil {
+		return err
+	}
+	doc, err := snap.Document()
+	if err != nil {
+		return err
+	}
+	if doc.HasFailureDomain(name) {
+		return nil
+	}
+	p, err := a.platform()
+	if err != nil {
+		return err
+	}
+	routers, servers, err := p.ListInstances(ctx)
+	if err != nil {
+		a.note("the name of the failure domain was not checked: %v", err)
+		return nil
+	}
+	for _, r := range routers {
+		if r.FailureDomain() == name {
+			return nil
+		}
+	}
+	for _, b := range servers {
+		if b.FailureDomain() == name {
+			return nil
+		}
+	}
+	return waxfleet.NewError(waxfleet.CodeObjectNotFound, "failure domain %q has no instance, backend server or entry in the configuration", name)
+}
--- /dev/null
+++ b/waxctl/explain.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"io"
+	"slices"
+
+	"connectrpc.com/connect"
+	"github.com/spf13/cobra"
+
+	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxwire"
+	"waxwingdrift.org/waxfleet/waxwire/waxwireconnect"
+)
+
+func init() { register(newExplain) }
+
+type decisionRow struct {
+	AtMs     int64  `json:"at-ms"`
+	Instance string `json:"instance"`
+	Step     string `json:"step"`
+	Detail   string `json:"detail"`
+}
+
+func newExplain(a *app) *cobra.Command {
+	return &cobra.Command{
+		Use:   "explain REQUEST-ID",
+		Short: "Show what the routers decided about a request, by time",
+		Args:  usageArgs(cobra.ExactArgs(1)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			ctx, cancel := a.limit(cmd.Context())
+			defer cancel()
+			p, err := a.platform()
+			if err != nil {
+				return err
+			}
+			routers, _, err := p.ListInstances(ctx)
+			if err != nil {
+				return err
+			}
+			answers, err := askRouters(ctx, a, routers, func(ctx context.Context, c waxwireconnect.PeerClient) (*waxwire.ExplainReply, error) {
+				resp, err := c.Explain(ctx, connect.NewRequest(&waxwire.ExplainRequest{RequestId: args[0]}))
+				if err != nil {
+					return nil, err
+				}
+				return resp.Msg, nil
+			})
+			if err != nil {
+				return err
+			}
+			rows := mergeDecisions(answers)
+			if len(rows) == 0 {
+				return waxfleet.NewError(waxfleet.CodeObjectNotFound, "no router that answers has a record of request %s", args[0])
+			}
+			return a.emit(rows, func(w io.Writer) { drawDecisions(w, rows) })
+		},
+	}
+}
+
+// mergeDecisions orders decisions by time. Those of one router at the same
+// millisecond keep their order.
+func mergeDecisions(answers []routerAnswer[*waxwire.ExplainReply]) []decisionRow {
+	var rows []decisionRow
+	for _, answer := range answers {
+		for _, d := range answer.value.GetDecisions() {
+			rows = append(rows, decisionRow{
+				AtMs: d.GetAtMs(), Instance: cmp.Or(d.GetInstance(), answer.router.ID()), Step: d.GetStep(), Detail: d.GetDetail(),
+			})
+		}
+	}
+	slices.SortStableFunc(rows, func(x, y decisionRow) int { return cmp.Compare(x.AtMs, y.AtMs) })
+	return rows
+}
+
+func drawDecisions(w io.Writer, rows []decisionRow) {
+	row(w, "AFTER MS", "INSTANCE", "STEP", "DETAIL")
+	for _, r := range rows {
+		row(w, r.AtMs-rows[0].AtMs, r.Instance, r.Step, r.Detail)
+	}
+}
--- /dev/null
+++ b/waxctl/fleet.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+
+	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxwire/waxwireconnect"
+)
+
+// maxParallelAsks bounds the routers that are asked at the same time.
+const maxParallelAsks = 32
+
+// routerAnswer is what one router said, or why it said nothing.
+type routerAnswer[T any] struct {
+	router waxfleet.Instance
+	value  T
+	err    error
+}
+
+// askRouters asks all routers of the instance list and returns their answers by
+// router id. It notes those that do not answer.
+//
+// Errors: CodePeerUnreachable when no router answers; those of ListInstances.
+func askRouters[T any](ctx context.Context, a *app, routers []waxfleet.Instance, ask func(context.Context, waxwireconnect.PeerClient) (T, error)) ([]routerAnswer[T], error) {
+	client := newPeerHTTPClient()
+	defer client.CloseIdleConnections()
+	answers := make([]routerAnswer[T], len(routers))
+	slots := make(chan struct{}, maxParallelAsks)
+	var wg sync.WaitGroup
+	for i, r := range routers {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			value, err := ask(ctx, waxwireconnect.NewPeerClient(client, "http://"+r.PeerAddress()))
+			answers[i] = routerAnswer[T]{router: r, value: value, err: err}
+		})
+	}
+	wg.Wait()
+	slices.SortFunc(answers, func(x, y routerAnswer[T]) int { return cmp.Compare(x.router.ID(), y.router.ID()) })
+	silent := 0
+	for _, answer := range answers {
+		if answer.err != nil {
+			silent++
+			a.note("router %s at %s does not answer: %v", answer.router.ID(), answer.router.PeerAddress(), answer.err)
+		}
+	}
+	if silent == len(answers) && silent > 0 {
+		return answers, waxfleet.NewError(waxfleet.CodePeerUnreachable, "none of %d routers answers", silent)
+	}
+	return answers, nil
+}
+
+// newPeerHTTPClient speaks HTTP/2 without TLS, as routers do between each other.
+func newPeerHTTPClient() *http.Client {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Client{Transport: &http.Transport{Protocols: protocols}}
+}
--- /dev/null
+++ b/waxctl/root.go
@@ -0,0 +1,169 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+	"github.com/spf13/viper"
+
+	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxconfig"
+)
+
+const (
+	flagPlatform  = "platform"
+	flagOutput    = "output"
+	flagTimeoutMs = "timeout-ms"
+
+	outputTable = "table"
+	outputJSON  = "json"
+
+	defaultTimeoutMs = 10_000
+)
+
+// app holds what the commands share.
+type app struct {
+	settings *viper.Viper
+	in       io.Reader
+	out      io.Writer
+	errOut   io.Writer
+	clock    *waxfleet.Clock
+}
+
+// commands are the constructors that the command files register.
+var commands []func(*app) *cobra.Command
+
+func register(c func(*app) *cobra.Command) { commands = append(commands, c) }
+
+// run runs one command line and returns the exit code.
+func run(ctx context.Context, args []string, in io.Reader, out, errOut io.Writer) int {
+	a := &app{settings: viper.New(), in: in, out: out, errOut: errOut, clock: waxfleet.NewClock()}
+	root := newRoot(a)
+	root.SetArgs(args)
+	root.SetIn(in)
+	root.SetOut(out)
+	root.SetErr(errOut)
+	err := root.ExecuteContext(ctx)
+	if err != nil {
+		a.note("waxctl: %v", err)
+	}
+	return exitCode(err)
+}
+
+func newRoot(a *app) *cobra.Command {
+	root := &cobra.Command{
+		Use:               "waxctl",
+		Short:             "Operate a waxwingdrift router fleet",
+		SilenceUsage:      true,
+		SilenceErrors:     true,
+		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
+		Args:              usageArgs(cobra.NoArgs),
+		RunE:              func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+		PersistentPreRunE: func(*cobra.Command, []string) error { return a.checkSettings() },
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return newUsageError(err) })
+	flags := root.PersistentFlags()
+	flags.String(flagPlatform, "", "base URL of the platform's Object API (WAX_PLATFORM)")
+	flags.String(flagOutput, outputTable, "output form: table or json (WAX_OUTPUT)")
+	flags.Int64(flagTimeoutMs, defaultTimeoutMs, "time limit of the command in ms (WAX_TIMEOUT_MS)")
+	a.settings.SetEnvPrefix("WAX")
+	a.settings.SetEnvKeyReplacer(strings.NewReplacer("-", "_"))
+	a.settings.AutomaticEnv()
+	for _, name := range []string{flagPlatform, flagOutput, flagTimeoutMs} {
+		if err := a.settings.BindPFlag(name, flags.Lookup(name)); err != nil {
+			panic(err) // only a missing flag fails here
+		}
+	}
+	for _, c := range commands {
+		root.AddCommand(c(a))
+	}
+	return root
+}
+
+func (a *app) checkSettings() error {
+	if o := a.settings.GetString(flagOutput); o != outputTable && o != outputJSON {
+		return waxfleet.NewError(waxfleet.CodeSettingInvalid, "--%s: value %q; allowed: %s or %s", flagOutput, o, outputTable, outputJSON)
+	}
+	if a.settings.GetInt64(flagTimeoutMs) <= 0 {
+		return waxfleet.NewError(waxfleet.CodeSettingInvalid,
+			"--%s: value %q; allowed: a whole number above 0", flagTimeoutMs, a.settings.GetString(flagTimeoutMs))
+	}
+	return nil
+}
+
+func (a *app) json() bool { return a.settings.GetString(flagOutput) == outputJSON }
+
+// limit bounds the time of a command.
+func (a *app) limit(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, time.Duration(a.settings.GetInt64(flagTimeoutMs))*time.Millisecond)
+}
+
+// platform returns the client of the Object API and the instance list.
+func (a *app) platform() (platform, error) {
+	address := a.settings.GetString(flagPlatform)
+	if address == "" {
+		return nil, waxfleet.NewError(waxfleet.CodeSettingInvalid, "--%s: no value; allowed: the base URL of the Object API", flagPlatform)
+	}
+	if !strings.Contains(address, "://") {
+		address = "http://" + address
+	}
+	return newPlatform(address, "waxctl", &http.Client{}), nil
+}
+
+func (a *app) editor() (*waxconfig.Editor, error) {
+	p, err := a.platform()
+	if err != nil {
+		return nil, err
+	}
+	log := slog.New(slog.NewJSONHandler(a.errOut, &slog.HandlerOptions{Level: slog.LevelWarn}))
+	return waxconfig.NewEditor(p, a.clock, log), nil
+}
+
+// edit runs one edit and reports the version in which it is in force.
+func (a *app) edit(ctx context.Context, section string, edit func(context.Context, *waxconfig.Editor) (uint64, error)) error {
+	e, err := a.editor()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := a.limit(ctx)
+	defer cancel()
+	version, err := edit(ctx, e)
+	if err != nil {
+		return a.showConflict(err)
+	}
+	return a.emit(editReport{Section: section, Version: version}, func(w io.Writer) {
+		row(w, "SECTION", "VERSION")
+		row(w, section, version)
+	})
+}
+
+type editReport struct {
+	Section string `json:"section"`
+	Version uint64 `json:"version"`
+}
+
+func (a *app) readFile(name string) ([]byte, error) {
+	var raw []byte
+	var err error
+	if name == "-" {
+		raw, err = io.ReadAll(a.in)
+	} else {
+		raw, err = os.ReadFile(name)
+	}
+	if os.IsNotExist(err) {
+		return nil, waxfleet.NewError(waxfleet.CodeObjectNotFound, "file %s", name)
+	}
+	return raw, err
+}
+
+// note writes a line to standard error, apart from the output proper.
+func (a *app) note(format string, args ...any) {
+	_, _ = fmt.Fprintf(a.errOut, format+"\n", args...)
+}
--- a/waxfleet/waxconfig/document.go
+++ b/waxfleet/waxconfig/document.go
@@ -188,3 +188,9 @@
 
 // Limits implements waxfleet.Config.
 func (d *Document) Limits() waxfleet.Limits { return d.limits }
+
+// HasFailureDomain reports whether the configuration names the failure domain.
+func (d *Document) HasFailureDomain(name string) bool {
+	_, ok := d.domains.byName[name]
+	return ok
+}
--- a/waxfleet/waxconfig/editor.go
+++ b/waxfleet/waxconfig/editor.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"log/slog"
 	"time"
 
@@ -70,10 +69,45 @@
 	if err != nil {
 		return 0, err
 	}
+	return e.replace(ctx, section, base, value)
+}
+
+// Replace is Edit for a section that an operator changed offline: base is the
+// section as the operator read it, and value replaces it.
+//
+// Errors: as Edit; a *ConflictError also when the section is no longer base.
+// Its BaseVersion is 0 then.
+func (e *Editor) Replace(ctx context.Context, section string, base, value []byte) (uint64, error) {
+	if _, ok := defaultSections[section]; !ok {
+		return 0, unknownSection(section)
+	}
+	base, err := canonicalSection(section, base)
+	if err != nil {
+		return 0, err
+	}
+	value, err = canonicalSection(section, value)
+	if err != nil {
+		return 0, err
+	}
+	current, err := e.Read(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if !bytes.Equal(base, current.raw[section]) {
+		origin := Snapshot{raw: map[string][]byte{section: base}}
+		return 0, &ConflictError{section: section, origin: origin, current: current, yours: value}
+	}
+	return e.replace(ctx, section, current, value)
+}
+
+func (e *Editor) replace(ctx context.Context, section string, base Snapshot, value []byte) (uint64, error) {
 	if bytes.Equal(value, base.raw[section]) {
 		return base.version, nil
 	}
-	t := &editTask{editor: e, section: section, id: ulid.Make().String(), value: value, origin: base, base: base, delays: newDelays(editBackoffInitial, editBackoffMax)}
+	t := &editTask{
+		editor: e, section: section, id: ulid.Make().String(), value: value,
+		origin: base, base: base, delays: newDelays(editBackoffInitial, editBackoffMax),
+	}
 	return t.run(ctx)
 }
 
@@ -92,6 +126,11 @@
 func (c *ConflictError) Unwrap() error { return c.coded() }
 
 func (c *ConflictError) coded() *waxfleet.Error {
+	if c.origin.version == 0 {
+		return waxfleet.NewError(waxfleet.CodeConfigConflict,
+			"section %s was changed since it was read; the current version is %d (revision %d)",
+			c.section, c.current.version, c.current.Revision(c.section))
+	}
 	return waxfleet.NewError(waxfleet.CodeConfigConflict,
 		"section %s was changed: your edit started from version %d (revision %d), the current version is %d (revision %d)",
 		c.section, c.origin.version, c.origin.Revision(c.section), c.current.version, c.current.Revision(c.section))
@@ -298,12 +337,3 @@
 		backoff.WithMaxElapsedTime(0),
 	)
 }
-
-// String implements fmt.Stringer for messages.
-func (o outcome) String() string {
-	names := [...]string{"pending", "applied", "beaten", "forgotten"}
-	if int(o) < len(names) {
-		return names[o]
-	}
-	return fmt.Sprintf("outcome-%d", int(o))
-}
--- a/waxfleet/waxconfig/failuredomains.go
+++ b/waxfleet/waxconfig/failuredomains.go
@@ -1,6 +1,10 @@
 package waxconfig
 
-import "waxwingdrift.org/waxfleet"
+import (
+	"encoding/json"
+
+	"waxwingdrift.org/waxfleet"
+)
 
 // States of a failure domain.
 const (
@@ -33,3 +37,16 @@
 	}
 	d.domains = part
 }
+
+// SetDomainState returns a change for Editor.Edit that sets the state of a
+// failure domain to StateIn or StateOut.
+func SetDomainState(name, state string) func(current []byte) ([]byte, error) {
+	return func(current []byte) ([]byte, error) {
+		var entries map[string]failureDomainEntry
+		if err := json.Unmarshal(current, &entries); err != nil {
+			return nil, waxfleet.WrapError(err, waxfleet.CodeInternal, "read section %s", SectionFailureDomains)
+		}
+		entries[name] = failureDomainEntry{State: state}
+		return encode(entries)
+	}
+}
--- a/waxfleet/waxconfig/rules.go
+++ b/waxfleet/waxconfig/rules.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"waxwingdrift.org/waxfleet"
 )
@@ -115,3 +116,20 @@
 		checkKnown(r, SectionRules, path+".failure-domains", e.FailureDomains, SectionFailureDomains, d.domains.byName)
 	}
 }
+
+// SetDraining returns a change for Editor.Edit that marks a backend server as
+// leaving, or removes the mark.
+func SetDraining(backendServer string, draining bool) func(current []byte) ([]byte, error) {
+	return func(current []byte) ([]byte, error) {
+		var value rulesValue
+		if err := json.Unmarshal(current, &value); err != nil {
+			return nil, waxfleet.WrapError(err, waxfleet.CodeInternal, "read section %s", SectionRules)
+		}
+		value.Rules = slices.Concat([]json.RawMessage{}, value.Rules)
+		value.Draining = slices.DeleteFunc(slices.Concat([]string{}, value.Draining), func(id string) bool { return id == backendServer })
+		if draining {
+			value.Draining = append(value.Draining, backendServer)
+		}
+		return encode(value)
+	}
+}
