--- /dev/null
+++ b/waxfleet/waxobject/fallback.go
@@ -0,0 +1,84 @@
+package waxobject
+
+import (
+	"context"
+
+	"waxwingdrift.org/waxfleet"
+)
+
+// maxRelays is the number of relays that one call tries. A peer that can't reach
+// the platform either is likely to share the cause, so more are of little use.
+const maxRelays = 2
+
+// Fallback is an ObjectStore that goes through peer instances when this
+// instance can't reach the platform.
+type Fallback struct {
+	primary waxfleet.ObjectStore
+	relays  func() []waxfleet.ObjectStore
+}
+
+var _ waxfleet.ObjectStore = (*Fallback)(nil)
+
+// NewFallback returns a store that calls primary first. relays returns the
+// stores of peers, best first; a relay answers CodePlatformUnreachable only when
+// nothing was written.
+func NewFallback(primary waxfleet.ObjectStore, relays func() []waxfleet.ObjectStore) *Fallback {
+	return &Fallback{primary: primary, relays: relays}
+}
+
+// Get implements waxfleet.ObjectStore.
+func (f *Fallback) Get(ctx context.Context, kind, name string) (waxfleet.Object, error) {
+	return firstReachable(ctx, f, func(s waxfleet.ObjectStore) (waxfleet.Object, error) {
+		return s.Get(ctx, kind, name)
+	})
+}
+
+// Put implements waxfleet.ObjectStore.
+func (f *Fallback) Put(ctx context.Context, kind, name string, value []byte, version uint64) (waxfleet.Object, error) {
+	return firstReachable(ctx, f, func(s waxfleet.ObjectStore) (waxfleet.Object, error) {
+		return s.Put(ctx, kind, name, value, version)
+	})
+}
+
+// Delete implements waxfleet.ObjectStore.
+func (f *Fallback) Delete(ctx context.Context, kind, name string, version uint64) error {
+	_, err := firstReachable(ctx, f, func(s waxfleet.ObjectStore) (struct{}, error) {
+		return struct{}{}, s.Delete(ctx, kind, name, version)
+	})
+	return err
+}
+
+// List implements waxfleet.ObjectStore.
+func (f *Fallback) List(ctx context.Context, kind string) ([]waxfleet.Object, error) {
+	return firstReachable(ctx, f, func(s waxfleet.ObjectStore) ([]waxfleet.Object, error) {
+		return s.List(ctx, kind)
+	})
+}
+
+// Watch implements waxfleet.ObjectStore.
+func (f *Fallback) Watch(ctx context.Context, kind, name string, after uint64) (waxfleet.Object, error) {
+	return firstReachable(ctx, f, func(s waxfleet.ObjectStore) (waxfleet.Object, error) {
+		return s.Watch(ctx, kind, name, after)
+	})
+}
+
+// firstReachable tries the primary and then the relays. Only
+// CodePlatformUnreachable goes on: after CodePlatformUnknown a write may have
+// taken effect, and a second one could be answered with a misleading conflict.
+func firstReachable[T any](ctx context.Context, f *Fallback, do func(waxfleet.ObjectStore) (T, error)) (T, error) {
+	result, err := do(f.primary)
+	if waxfleet.CodeOf(err) != waxfleet.CodePlatformUnreachable {
+		return result, err
+	}
+	relays := f.relays()
+	for _, relay := range relays[:min(len(relays), maxRelays)] {
+		if ctx.Err() != nil {
+			break
+		}
+		result, err = do(relay)
+		if waxfleet.CodeOf(err) != waxfleet.CodePlatformUnreachable {
+			break
+		}
+	}
+	return result, err
+}
