--- /dev/null
+++ b/waxfleet/waxclaim/store_test.go
@@ -0,0 +1,334 @@
+package waxclaim
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+	"github.com/oklog/ulid/v2"
+
+	"waxwingdrift.org/waxfleet"
+)
+
+// fault is what happens to one call of memoryStore.
+type fault int
+
+const (
+	faultNone fault = iota
+	faultOutage
+	faultAnswerLost  // a write takes effect, its answer is lost
+	faultRequestLost // a write never arrives, and the caller can't tell
+	faultDelayed     // a write takes effect after later calls
+)
+
+// memoryStore is an ObjectStore with faults.
+type memoryStore struct {
+	mu      sync.Mutex
+	objects map[string]waxfleet.Object
+	version uint64
+	changed chan struct{}
+	delayed []func()
+	fault   func(write bool) fault
+}
+
+func newMemoryStore() *memoryStore {
+	return &memoryStore{objects: make(map[string]waxfleet.Object), changed: make(chan struct{}), fault: func(bool) fault { return faultNone }}
+}
+
+func (m *memoryStore) setFault(f func(write bool) fault) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fault = f
+}
+
+func unreachable() error { return waxfleet.NewError(waxfleet.CodePlatformUnreachable, "outage") }
+
+// write performs apply under the fault of the call.
+func (m *memoryStore) write(apply func() (waxfleet.Object, error)) (waxfleet.Object, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	unknown := waxfleet.NewError(waxfleet.CodePlatformUnknown, "answer lost")
+	switch m.fault(true) {
+	case faultOutage:
+		return waxfleet.Object{}, unreachable()
+	case faultRequestLost:
+		return waxfleet.Object{}, unknown
+	case faultAnswerLost:
+		_, _ = apply()
+		return waxfleet.Object{}, unknown
+	case faultDelayed:
+		m.delayed = append(m.delayed, func() { _, _ = apply() })
+		return waxfleet.Object{}, unknown
+	}
+	return apply()
+}
+
+func (m *memoryStore) Get(_ context.Context, kind, name string) (waxfleet.Object, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.fault(false) != faultNone {
+		return waxfleet.Object{}, unreachable()
+	}
+	o, ok := m.objects[kind+"/"+name]
+	if !ok {
+		return waxfleet.Object{}, waxfleet.NewError(waxfleet.CodeObjectNotFound, "missing")
+	}
+	return o, nil
+}
+
+func (m *memoryStore) Put(_ context.Context, kind, name string, value []byte, version uint64) (waxfleet.Object, error) {
+	return m.write(func() (waxfleet.Object, error) {
+		if m.objects[kind+"/"+name].Version() != version {
+			return waxfleet.Object{}, waxfleet.NewError(waxfleet.CodeObjectConflict, "version")
+		}
+		if len(value) > waxfleet.MaxObjectBytes {
+			return waxfleet.Object{}, waxfleet.NewError(waxfleet.CodeBodyTooLarge, "size")
+		}
+		m.version++
+		o := waxfleet.NewObject(kind, name, value, m.version)
+		m.objects[kind+"/"+name] = o
+		close(m.changed)
+		m.changed = make(chan struct{})
+		return o, nil
+	})
+}
+
+func (m *memoryStore) Delete(_ context.Context, kind, name string, version uint64) error {
+	_, err := m.write(func() (waxfleet.Object, error) {
+		if m.objects[kind+"/"+name].Version() != version {
+			return waxfleet.Object{}, waxfleet.NewError(waxfleet.CodeObjectConflict, "version")
+		}
+		delete(m.objects, kind+"/"+name)
+		return waxfleet.Object{}, nil
+	})
+	return err
+}
+
+func (m *memoryStore) List(_ context.Context, _ string) ([]waxfleet.Object, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Collect(maps.Values(m.objects)), nil
+}
+
+func (m *memoryStore) Watch(ctx context.Context, kind, name string, after uint64) (waxfleet.Object, error) {
+	for {
+		m.mu.Lock()
+		changed := m.changed
+		m.mu.Unlock()
+		o, err := m.Get(ctx, kind, name)
+		if err != nil || o.Version() > after {
+			return o, err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return waxfleet.Object{}, unreachable()
+		}
+	}
+}
+
+// flush applies the delayed writes.
+func (m *memoryStore) flush() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, apply := range m.delayed {
+		apply()
+	}
+	m.delayed = nil
+}
+
+const testNow waxfleet.Millis = 1_700_000_000_000
+
+func newKey(at waxfleet.Millis) string {
+	return ulid.MustNew(uint64(at), ulid.DefaultEntropy()).String()
+}
+
+func quietLog() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+func newTestStore(t *testing.T, m waxfleet.ObjectStore, instance string, options ...Option) (*Store, *waxfleet.Clock) {
+	clock := waxfleet.NewManualClock(testNow)
+	return New(t.Context(), m, clock, instance, quietLog(), options...), clock
+}
+
+// Guards against a repeat that runs again, gets another answer, or passes with
+// another body.
+func TestRepeatGetsFirstAnswer(t *testing.T) {
+	is := is.New(t)
+	m := newMemoryStore()
+	a, _ := newTestStore(t, m, "a")
+	b, _ := newTestStore(t, m, "b")
+	ctx := t.Context()
+	key := newKey(testNow)
+	c, err := a.Begin(ctx, "w", key, "digest")
+	is.NoErr(err)
+	is.True(c.Held())
+	answers := make(chan waxfleet.Claim, 1)
+	go func() {
+		waiting, _ := b.Begin(ctx, "w", strings.ToLower(key), "digest")
+		answers <- waiting
+	}()
+	body := bytes.Repeat([]byte{0xff, '\n'}, maxResultBytes/2)
+	is.NoErr(a.Finish(ctx, c, 201, "text/plain", body))
+	for _, repeat := range []waxfleet.Claim{<-answers, must(b.Begin(ctx, "w", key, "digest"))} {
+		status, contentType, stored := repeat.Result()
+		is.True(!repeat.Held())
+		is.Equal(status, 201)
+		is.Equal(contentType, "text/plain")
+		is.True(bytes.Equal(stored, body))
+	}
+	_, err = b.Begin(ctx, "w", key, "other digest")
+	is.Equal(waxfleet.CodeOf(err), waxfleet.CodeKeyReused)
+	other, err := b.Begin(ctx, "other workspace", key, "digest")
+	is.NoErr(err)
+	is.True(other.Held())
+	is.NoErr(b.Finish(ctx, other, 200, "text/plain", make([]byte, maxResultBytes+1)))
+	_, err = a.Begin(ctx, "other workspace", key, "digest")
+	is.Equal(waxfleet.CodeOf(err), waxfleet.CodeResultNotKept)
+}
+
+func must(c waxfleet.Claim, err error) waxfleet.Claim {
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
+// Guards against a "not run" for a request that ran at an instance that died,
+// and against an endless wait.
+func TestRunningClaimIsNeverTakenOver(t *testing.T) {
+	is := is.New(t)
+	m := newMemoryStore()
+	gone := false
+	a, _ := newTestStore(t, m, "a")
+	b, clock := newTestStore(t, m, "b", HolderStopped(func(holder string) bool { return gone && holder == "a" }))
+	key := newKey(testNow)
+	held := must(a.Begin(t.Context(), "w", key, "digest"))
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := b.Begin(ended, "w", key, "digest")
+	is.Equal(waxfleet.CodeOf(err), waxfleet.CodeStillRunning)
+	gone = true
+	_, err = b.Begin(t.Context(), "w", key, "digest")
+	is.Equal(waxfleet.CodeOf(err), waxfleet.CodeOutcomeUnknown)
+	gone = false
+	clock.Advance(maxRun + 1)
+	_, err = b.Begin(t.Context(), "w", key, "digest")
+	is.Equal(waxfleet.CodeOf(err), waxfleet.CodeOutcomeUnknown)
+	restarted, _ := newTestStore(t, m, "a")
+	_, err = restarted.Begin(t.Context(), "w", key, "digest")
+	is.Equal(waxfleet.CodeOf(err), waxfleet.CodeOutcomeUnknown)
+	is.NoErr(a.Finish(t.Context(), held, 200, "", []byte("late"))) // the holder was only slow
+	status, _, _ := must(b.Begin(t.Context(), "w", key, "digest")).Result()
+	is.Equal(status, 200)
+}
+
+// Guards against a holder that overwrites the claim of the attempt after its own.
+func TestFinishKeepsOtherAttemptsClaim(t *testing.T) {
+	is := is.New(t)
+	m := newMemoryStore()
+	a, _ := newTestStore(t, m, "a")
+	key := newKey(testNow)
+	first := must(a.Begin(t.Context(), "w", key, "digest"))
+	is.NoErr(a.Release(t.Context(), first))
+	second := must(a.Begin(t.Context(), "w", key, "digest"))
+	is.True(second.Held())
+	is.Equal(waxfleet.CodeOf(a.Finish(t.Context(), first, 200, "", nil)), waxfleet.CodeObjectConflict)
+	is.NoErr(a.Release(t.Context(), first))
+	is.NoErr(a.Finish(t.Context(), second, 204, "", nil))
+	status, _, _ := must(a.Begin(t.Context(), "w", key, "digest")).Result()
+	is.Equal(status, 204)
+}
+
+// Guards against a claim that stays running because its create took effect after
+// the caller was refused.
+func TestUndeterminedClaimIsReleased(t *testing.T) {
+	for _, f := range []fault{faultAnswerLost, faultDelayed, faultRequestLost} {
+		is := is.New(t)
+		m := newMemoryStore()
+		a, _ := newTestStore(t, m, "a")
+		b, _ := newTestStore(t, m, "b")
+		m.setFault(func(write bool) fault {
+			if write {
+				return f
+			}
+			return faultOutage
+		})
+		key := newKey(testNow)
+		_, err := a.Begin(t.Context(), "w", key, "digest")
+		is.Equal(waxfleet.CodeOf(err), waxfleet.CodeClaimsUnavailable)
+		m.setFault(func(bool) fault { return faultNone })
+		for a.countHeld() > 0 { // the background release ends
+			_ = waxfleet.NewClock().Sleep(t.Context(), 1)
+		}
+		m.flush()
+		c, err := b.Begin(t.Context(), "w", key, "digest")
+		is.NoErr(err)
+		is.True(c.Held())
+	}
+}
+
+func (s *Store) countHeld() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.held)
+}
+
+// Guards against a second run after the claim of the first was deleted.
+func TestKeyTimeBoundsRepeats(t *testing.T) {
+	is := is.New(t)
+	m := newMemoryStore()
+	a, clock := newTestStore(t, m, "a")
+	key := newKey(testNow + MaxAhead)
+	is.NoErr(a.Finish(t.Context(), must(a.Begin(t.Context(), "w", key, "digest")), 200, "", nil))
+	sweep := func() int {
+		n, err := a.Sweep(t.Context(), func(string) bool { return true })
+		is.NoErr(err)
+		return n
+	}
+	clock.Advance(Retention + sweepMargin)
+	is.Equal(sweep(), 0)
+	clock.Advance(1)
+	n, err := a.Sweep(t.Context(), func(string) bool { return false })
+	is.NoErr(err)
+	is.Equal(n, 0)
+	is.Equal(sweep(), 1)
+	_, err = a.Begin(t.Context(), "w", key, "digest")
+	is.Equal(waxfleet.CodeOf(err), waxfleet.CodeKeyExpired)
+
+	// A process that is paused between the check of the key and its write.
+	paused := newKey(clock.Now())
+	m.setFault(func(write bool) fault {
+		if write {
+			m.fault = func(bool) fault { return faultNone }
+			clock.Advance(Retention + sweepMargin)
+		}
+		return faultNone
+	})
+	_, err = a.Begin(t.Context(), "w", paused, "digest")
+	is.Equal(waxfleet.CodeOf(err), waxfleet.CodeKeyExpired)
+}
+
+// Guards against keys whose age can't be told.
+func TestCheckKey(t *testing.T) {
+	is := is.New(t)
+	code := func(key string) waxfleet.Code { return waxfleet.CodeOf(CheckKey(key, testNow)) }
+	v7 := uuid.Must(uuid.NewV7())
+	copy(v7[:6], ulid.MustNew(uint64(testNow), ulid.DefaultEntropy()).Bytes())
+	is.Equal(code(v7.String()), waxfleet.CodeOK)
+	is.Equal(code(uuid.NewString()), waxfleet.CodeKeyFormat)
+	is.Equal(code("{"+v7.String()+"}"), waxfleet.CodeKeyFormat)
+	is.Equal(code(""), waxfleet.CodeKeyFormat)
+	is.Equal(code("!"+newKey(testNow)[1:]), waxfleet.CodeKeyFormat)
+	is.Equal(code(newKey(testNow-Retention)), waxfleet.CodeOK)
+	is.Equal(code(newKey(testNow-Retention-1)), waxfleet.CodeKeyExpired)
+	is.Equal(code(newKey(testNow+MaxAhead)), waxfleet.CodeOK)
+	is.Equal(code(newKey(testNow+MaxAhead+1)), waxfleet.CodeKeyInFuture)
+}
