--- /dev/null
+++ b/waxload/waxreport/table.go
@@ -0,0 +1,46 @@
+package waxreport
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"text/tabwriter"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// quantile sorts values. It is 0 without any.
+func quantile(p float64, values []float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	sort.Float64s(values)
+	return stat.Quantile(p, stat.Empirical, values, nil)
+}
+
+// WriteTable writes the report as text.
+func (r Report) WriteTable(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	row := func(name, format string, args ...any) {
+		_, _ = fmt.Fprintf(t, "%s\t%s\n", name, fmt.Sprintf(format, args...))
+	}
+	row("run", "%s", r.Title)
+	row("requests", "%d", r.Requests)
+	row("whole answers", "%d (%.4f)", r.Whole, ratio(r.Whole, r.Requests))
+	for _, c := range r.Codes {
+		row("result code", "%d %s: %d", c.Code, c.Name, c.Count)
+	}
+	for _, f := range r.FirstToken {
+		row("first token, "+f.Tier, "%s", f.text())
+	}
+	row("token gap", "%s", r.TokenGap.text())
+	row("cache reuse", "%.3f over %d requests", r.Reuse, r.ReuseRequests)
+	row("skew", "p50 %.2f, p95 %.2f, max %.2f over %d samples", r.Skew.P50, r.Skew.P95, r.Skew.Max, r.Skew.Count)
+	row("control", "mean %.0f B/s, max %.0f B/s over %d instances", r.Control.Mean, r.Control.Max, r.Control.Instances)
+	row("added latency", "%s", r.Added.text())
+	return t.Flush()
+}
+
+func (l Latency) text() string {
+	return fmt.Sprintf("p50 %.2f ms, p95 %.2f ms, p99 %.2f ms over %d", l.P50, l.P95, l.P99, l.Count)
+}
