--- a/waxfleet/waxdispatch/dispatcher.go
+++ b/waxfleet/waxdispatch/dispatcher.go
@@ -12,7 +12,6 @@
 	"syscall"
 
 	"github.com/cockroachdb/errors"
-	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/trace"
@@ -20,11 +19,8 @@
 	"waxwingdrift.org/waxfleet"
 )
 
-const (
-	tracerName = "waxwingdrift.org/waxfleet/waxdispatch"
-	// maxReportBytes bounds a load report.
-	maxReportBytes = 16 << 10
-)
+// maxReportBytes bounds a load report.
+const maxReportBytes = 16 << 10
 
 // Dispatcher implements waxfleet.Dispatcher.
 type Dispatcher struct {
@@ -52,7 +48,7 @@
 		fresh:        newTransport(opts.Dial, 0),
 		reports:      newTransport(opts.ReportDial, 1),
 		freshReports: newTransport(opts.ReportDial, 0),
-		tracer:       otel.Tracer(tracerName),
+		tracer:       opts.Tracer,
 	}
 }
 
--- a/waxfleet/waxdispatch/options.go
+++ b/waxfleet/waxdispatch/options.go
@@ -4,6 +4,9 @@
 	"context"
 	"net"
 
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
 	"waxwingdrift.org/waxfleet"
 )
 
@@ -46,6 +49,8 @@
 	// ReportDial opens the connections of load reports and probes, which count as
 	// control traffic.
 	ReportDial DialFunc
+	// Tracer makes the spans of calls; nil makes none.
+	Tracer trace.Tracer
 }
 
 func (o Options) withDefaults() Options {
@@ -58,6 +63,9 @@
 	setDefault(&o.MaxResumes, defaultMaxResumes)
 	setDefault(&o.MaxAttempts, defaultMaxAttempts)
 	dialer := &net.Dialer{Timeout: o.DialTimeout.Duration()}
+	if o.Tracer == nil {
+		o.Tracer = noop.NewTracerProvider().Tracer("")
+	}
 	if o.Dial == nil {
 		o.Dial = dialer.DialContext
 	}
--- a/waxfleet/waxdispatch/run.go
+++ b/waxfleet/waxdispatch/run.go
@@ -12,7 +12,6 @@
 	"github.com/cenkalti/backoff/v4"
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/ulid/v2"
-	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
 
 	"waxwingdrift.org/waxfleet"
@@ -165,7 +164,7 @@
 	if r.resuming() {
 		req.Header.Set(headerLastEventID, strconv.FormatInt(r.next-1, 10))
 	}
-	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(req.Header))
 	return req, nil
 }
 
--- a/waxfleet/waxmetric/metric.go
+++ b/waxfleet/waxmetric/metric.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	tallyprom "github.com/uber-go/tally/v4/prometheus"
 	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
@@ -40,10 +41,12 @@
 
 // New returns metrics that are served by Handler; they end with ctx.
 func New(ctx context.Context, instance string) *Metrics {
-	reporter := tallyprom.NewReporter(tallyprom.Options{})
+	// Each instance has a registry of its own, because one process may run several.
+	registry := prometheus.NewRegistry()
+	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "wax", Tags: map[string]string{"instance": instance},
-		CachedReporter: reporter, Separator: tallyprom.DefaultSeparator,
+		CachedReporter: reporter, Separator: tallyprom.DefaultSeparator, OmitCardinalityMetrics: true,
 	}, reportInterval)
 	go func() {
 		<-ctx.Done()
@@ -84,7 +87,7 @@
 	)
 	go func() {
 		<-ctx.Done()
-		flush, cancel := context.WithTimeout(context.Background(), flushTimeout)
+		flush, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushTimeout)
 		defer cancel()
 		_ = provider.Shutdown(flush)
 	}()
--- a/waxfleet/waxnode/local.go
+++ b/waxfleet/waxnode/local.go
@@ -68,7 +68,7 @@
 func wireSuspects(records []waxsuspect.Record) []*waxwire.Suspect {
 	out := make([]*waxwire.Suspect, len(records))
 	for i, r := range records {
-		out[i] = &waxwire.Suspect{Digest: r.Digest, Deaths: int32(r.Deaths), RemainingMs: int64(r.Remaining)}
+		out[i] = &waxwire.Suspect{Digest: r.Digest(), Deaths: int32(r.Deaths()), RemainingMs: int64(r.Remaining())}
 	}
 	return out
 }
--- a/waxfleet/waxnode/node.go
+++ b/waxfleet/waxnode/node.go
@@ -65,8 +65,8 @@
 	recorder  *waxrecord.Recorder
 	metrics   *waxmetric.Metrics
 
-	callers  *http.Server
-	peers    *http.Server
+	callers *http.Server
+	peers   *http.Server
 	// assembled is set once all parts are in place; work that started earlier
 	// checks it before it uses a part that comes later.
 	assembled atomic.Bool
@@ -131,7 +131,7 @@
 	}
 	tracer := provider.Tracer("waxwingdrift.org/waxfleet")
 	interceptor, err := otelconnect.NewInterceptor(otelconnect.WithTracerProvider(provider), otelconnect.WithPropagator(propagation.TraceContext{}),
-		otelconnect.WithTrustRemote(), otelconnect.WithoutMetrics(), otelconnect.WithoutTraceEvents())
+		otelconnect.WithTrustRemote(), otelconnect.WithoutMetrics())
 	if err != nil {
 		return waxfleet.WrapError(err, waxfleet.CodeInternal, "tracing could not start")
 	}
@@ -148,7 +148,7 @@
 		Changed: n.assignmentChanged, ConfigVersion: n.ConfigVersion,
 	}, n.log)
 	dispatcher := waxdispatch.New(n.clock, waxdispatch.Options{
-		ProgressTimeout: n.settings.ProgressTimeout, LoadDialContext: n.countedDial, Tracer: tracer,
+		ProgressTimeout: n.settings.ProgressTimeout, ReportDial: n.countedDial, Tracer: tracer,
 	}, n.log)
 	claims := waxclaim.New(ctx, n.store, n.clock, n.self.ID(), n.log)
 	n.owner = waxowner.New(ctx, waxowner.Parts{
@@ -213,11 +213,18 @@
 	}()
 	go func() {
 		for n.clock.Sleep(ctx, sweepInterval) == nil {
-			claims.Sweep(ctx, n.sweepsClaim)
+			n.sweep(ctx, claims)
 		}
 	}()
 }
 
+func (n *Node) sweep(ctx context.Context, claims *waxclaim.Store) {
+	deleted, err := claims.Sweep(ctx, n.sweepsClaim)
+	if err != nil {
+		n.log.WarnContext(ctx, "old claims could not all be deleted", "deleted", deleted, "error", err)
+	}
+}
+
 // list reads the platform's instance list. While it can't be read, the last one
 // stays in use.
 func (n *Node) list(ctx context.Context) {
@@ -275,3 +282,10 @@
 		next.ServeHTTP(w, r)
 	})
 }
+
+// Owns reports whether this instance has the full share of a backend server of
+// its failure domain.
+func (n *Node) Owns(server string) bool {
+	b, ok := n.table.Server(server)
+	return ok && b.FailureDomain() == n.self.FailureDomain() && n.keeper.Share(server) == waxlease.Full
+}
--- a/waxfleet/waxroute/collector.go
+++ b/waxfleet/waxroute/collector.go
@@ -136,7 +136,7 @@
 	if err != nil {
 		return waxfleet.WrapError(err, waxfleet.CodeStreamIncomplete, "the stream broke and its text can't be read to continue it").MaybeRun()
 	}
-	body, err := continuedBody(u.Request.Body, text)
+	body, err := continuedBody(u.Body, text)
 	if err != nil {
 		return waxfleet.WrapError(err, waxfleet.CodeStreamIncomplete, "the stream broke and can't be continued").MaybeRun()
 	}
--- a/waxfleet/waxroute/router.go
+++ b/waxfleet/waxroute/router.go
@@ -169,60 +169,72 @@
 	return ranked
 }
 
+// search is the state of the search for a place in one failure domain.
+type search struct {
+	domain string
+	// homes are the backend servers in rendezvous order; the owner of the first
+	// one decides where the chat goes.
+	homes []string
+	// target is where the home owner sent the request, if anywhere.
+	target   waxplace.Choice
+	excluded []string
+}
+
+// server returns the backend server that is asked for next.
+func (s *search) server() string {
+	if s.target.ID != "" {
+		return s.target.ID
+	}
+	return s.homes[0]
+}
+
+// exclude goes past the current server after a refusal or a silent owner. A
+// silent home owner is replaced by the next one.
+func (s *search) exclude() {
+	s.excluded = append(s.excluded, s.server())
+	if s.target.ID == "" {
+		s.homes = s.homes[1:]
+	}
+	s.target = waxplace.Choice{}
+}
+
 // tryDomain asks the home owner of the failure domain and follows its redirects.
 func (r *Router) tryDomain(ctx context.Context, u *run, domain string, final bool) (done bool, err error) {
-	ranked := r.homeOrder(u, domain)
-	excluded := []string{}
-	target := waxplace.Choice{}
-	homes := ranked
-	for hop := 0; hop <= maxRedirects && len(homes) > 0; hop++ {
-		home := homes[0]
-		req := u.wire(u.remaining(r.Clock.Now()))
-		req.Home, req.Excluded, req.Final = home, excluded, final || hop == maxRedirects
-		server := home
-		if target.ID != "" {
-			server = target.ID
-			req.Placed = true
-			req.PatienceMs = patienceAt(target, u)
-		}
-		req.BackendServer = server
-		owner, ok := r.ownerOf(domain, server)
+	s := &search{domain: domain, homes: r.homeOrder(u, domain)}
+	for hop := 0; hop <= maxRedirects && len(s.homes) > 0; hop++ {
+		owner, ok := r.ownerOf(domain, s.server())
 		if !ok {
-			u.lastFail = waxfleet.NewError(waxfleet.CodePeerUnreachable, "no instance of %s owns backend server %s", domain, server)
-			homes, excluded, target = r.skip(homes, excluded, server, target)
+			u.lastFail = waxfleet.NewError(waxfleet.CodePeerUnreachable, "no instance of %s owns backend server %s", domain, s.server())
+			s.exclude()
 			continue
 		}
-		out, err := r.attempt(ctx, u, owner, req)
+		out, err := r.attempt(ctx, u, owner, r.searchRequest(u, s, final || hop == maxRedirects))
 		switch {
-		case err != nil || out.done:
-			if out.done {
-				r.remember(u, domain)
-			}
-			return out.done, err
+		case err != nil:
+			return false, err
+		case out.done:
+			r.remember(u, domain)
+			return true, nil
 		case out.redirect.ID != "":
-			target = out.redirect
-		case out.unreachable:
-			homes, excluded, target = r.skip(homes, excluded, server, target)
-		case target.ID != "" && out.died:
-			return false, nil
-		case target.ID != "":
-			excluded = append(excluded, target.ID)
-			target = waxplace.Choice{}
+			s.target = out.redirect
+		case out.unreachable, s.target.ID != "" && !out.died:
+			s.exclude()
 		default:
-			return false, nil
+			return false, nil // the home owner refused, or a backend server died
 		}
 	}
 	return false, nil
 }
 
-// skip goes past a backend server whose owner does not answer: another home
-// decides, or the same home is asked again without the placed one.
-func (r *Router) skip(homes, excluded []string, server string, target waxplace.Choice) (restHomes, nowExcluded []string, next waxplace.Choice) {
-	excluded = append(excluded, server)
-	if target.ID != "" {
-		return homes, excluded, waxplace.Choice{}
-	}
-	return homes[1:], excluded, waxplace.Choice{}
+func (r *Router) searchRequest(u *run, s *search, final bool) *waxwire.ServeRequest {
+	req := u.wire(u.remaining(r.Clock.Now()))
+	req.Home, req.Excluded, req.Final = s.homes[0], s.excluded, final
+	req.BackendServer = s.server()
+	if s.target.ID != "" {
+		req.Placed = true
+		req.PatienceMs = patienceAt(s.target, u)
+	}
+	return req
 }
 
 // patienceAt returns how long the request may wait at the backend server that
--- /dev/null
+++ b/waxload/waxembed/fleet.go
@@ -0,0 +1,301 @@
+// Package waxembed starts stand-ins and router instances inside one process, on
+// loopback, for experiments and tests.
+package waxembed
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxconfig"
+	"waxwingdrift.org/waxfleet/waxnode"
+	"waxwingdrift.org/waxfleet/waxobject"
+	"waxwingdrift.org/waxstandin/waxengine"
+	"waxwingdrift.org/waxstandin/waxplatform"
+	"waxwingdrift.org/waxstandin/waxservice"
+)
+
+// Names of the embedded fleet.
+const (
+	ChatService  = "geiriau"
+	ChatModel    = "geiriau-1"
+	PlainService = "workshop-desk"
+	OncePath     = "/deposits"
+	loopback     = "127.0.0.1:0"
+)
+
+// Domains are the failure domains of the embedded fleet.
+func Domains() []string { return []string{"caerdydd", "abertawe", "wrecsam", "aberystwyth"} }
+
+// Options describe an embedded fleet.
+type Options struct {
+	Routers      int
+	Engines      int
+	PlainServers int
+	Workspaces   []string
+	// Engine is the template of all engines; its names are filled in.
+	Engine waxengine.Options
+	// ListLag is the lag of the platform's instance list.
+	ListLag         waxfleet.Millis
+	ProgressTimeout waxfleet.Millis
+	Log             *slog.Logger
+	// Limits replaces the section of that name when it is not empty.
+	Limits string
+	// Tiers replaces the section price-tiers when it is not empty.
+	Tiers string
+}
+
+// DefaultOptions returns 7 routers, 18 warm engines and a plain service of 4
+// servers in 4 failure domains.
+func DefaultOptions() Options {
+	workspaces := make([]string, 10)
+	for i := range workspaces {
+		workspaces[i] = fmt.Sprintf("ws-%02d", i+1)
+	}
+	return Options{
+		Routers: 7, Engines: 18, PlainServers: 4, Workspaces: workspaces,
+		Engine:  waxengine.Options{StartWarm: true, MaxBatch: 16, PrefillTokensPerSecond: 20_000, TokenInterval: 10, CacheBlocks: 2_000},
+		ListLag: 500, ProgressTimeout: 2_000, Log: slog.New(slog.DiscardHandler),
+	}
+}
+
+// Router is one instance of the embedded fleet.
+type Router struct {
+	ID            string
+	FailureDomain string
+	Node          *waxnode.Node
+	cancel        context.CancelFunc
+}
+
+// Kill ends the instance at once, as a crash does.
+func (r *Router) Kill() { r.cancel() }
+
+// Fleet is a running embedded fleet. It ends with the context of Start.
+type Fleet struct {
+	opts     Options
+	platform *waxplatform.Platform
+	engines  []*waxengine.Engine
+	services []*waxservice.Service
+	routers  []*Router
+	editor   *waxconfig.Editor
+	store    *waxobject.Client
+}
+
+// Start starts the stand-ins, writes the configuration and starts the routers.
+// It returns when all routers are ready.
+func Start(ctx context.Context, opts Options) (*Fleet, error) {
+	f := &Fleet{opts: opts}
+	var err error
+	if f.platform, err = waxplatform.New(ctx, waxplatform.Options{ListLag: opts.ListLag}); err != nil {
+		return nil, err
+	}
+	if err := f.startBackends(ctx); err != nil {
+		return nil, err
+	}
+	f.store = waxobject.NewClient("http://"+f.platform.Address(), "operator", &http.Client{})
+	f.editor = waxconfig.NewEditor(f.store, waxfleet.NewClock(), opts.Log)
+	if err := f.configure(ctx); err != nil {
+		return nil, err
+	}
+	for i := range opts.Routers {
+		if _, err := f.StartRouter(ctx, fmt.Sprintf("router-%d", i+1), Domains()[i%len(Domains())]); err != nil {
+			return nil, err
+		}
+	}
+	return f, f.waitReady(ctx)
+}
+
+func (f *Fleet) startBackends(ctx context.Context) error {
+	for i := range f.opts.Engines {
+		o := f.opts.Engine
+		o.ID, o.FailureDomain = fmt.Sprintf("engine-%02d", i+1), Domains()[i%len(Domains())]
+		o.Seed, o.Models = uint64(i+1), []string{ChatModel}
+		e, err := waxengine.New(ctx, o)
+		if err != nil {
+			return err
+		}
+		f.engines = append(f.engines, e)
+		f.platform.AddBackendServer(o.ID, ChatService, o.FailureDomain, e.Address())
+	}
+	for i := range f.opts.PlainServers {
+		o := waxservice.Options{ID: fmt.Sprintf("desk-%d", i+1), FailureDomain: Domains()[i%len(Domains())], Seed: uint64(i + 1)}
+		s, err := waxservice.New(ctx, o)
+		if err != nil {
+			return err
+		}
+		f.services = append(f.services, s)
+		f.platform.AddBackendServer(o.ID, PlainService, o.FailureDomain, s.Address())
+	}
+	return nil
+}
+
+// configure writes the sections that the fleet needs.
+func (f *Fleet) configure(ctx context.Context) error {
+	type workspace struct {
+		Keys        []string `json:"keys"`
+		DefaultTier string   `json:"default-tier"`
+	}
+	workspaces := map[string]workspace{}
+	for _, name := range f.opts.Workspaces {
+		workspaces[name] = workspace{Keys: []string{name}, DefaultTier: "standard"}
+	}
+	workspaceJSON, err := json.Marshal(workspaces)
+	if err != nil {
+		return err
+	}
+	services := fmt.Sprintf(`{%q:{"kind":"model-engine","models":[%q]},%q:{"kind":"plain-service","once-paths":[%q]}}`,
+		ChatService, ChatModel, PlainService, OncePath)
+	sections := []struct{ name, value string }{
+		{waxconfig.SectionServices, services},
+		{waxconfig.SectionPriceTiers, f.opts.Tiers},
+		{waxconfig.SectionLimits, f.opts.Limits},
+		{waxconfig.SectionWorkspaces, string(workspaceJSON)},
+	}
+	for _, s := range sections {
+		if s.value == "" {
+			continue
+		}
+		if _, err := f.Edit(ctx, s.name, s.value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Edit replaces a section of the configuration and returns the new version.
+func (f *Fleet) Edit(ctx context.Context, section, value string) (uint64, error) {
+	return f.editor.Edit(ctx, section, func([]byte) ([]byte, error) { return []byte(value), nil })
+}
+
+// SetDomain takes a failure domain out of service or brings it back.
+func (f *Fleet) SetDomain(ctx context.Context, name string, in bool) (uint64, error) {
+	state := "out"
+	if in {
+		state = "in"
+	}
+	return f.Edit(ctx, waxconfig.SectionFailureDomains, fmt.Sprintf(`{%q:{"state":%q}}`, name, state))
+}
+
+// StartRouter starts an instance, or replaces one that was killed or drained. It
+// ends with ctx.
+func (f *Fleet) StartRouter(ctx context.Context, id, failureDomain string) (*Router, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	node, err := waxnode.New(ctx, waxnode.Settings{
+		InstanceID: id, FailureDomain: failureDomain, CallerAddress: loopback, PeerAddress: loopback,
+		PlatformAddress: f.platform.Address(), ProgressTimeout: f.opts.ProgressTimeout, ListInterval: 500,
+		Exceptions: waxnode.DefaultExceptions, Records: waxnode.DefaultRecords,
+	}, f.opts.Log)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	f.platform.AddRouter(id, failureDomain, node.PeerAddress(), node.CallerAddress())
+	r := &Router{ID: id, FailureDomain: failureDomain, Node: node, cancel: cancel}
+	for i, old := range f.routers {
+		if old.ID == id {
+			f.routers[i] = r
+			return r, nil
+		}
+	}
+	f.routers = append(f.routers, r)
+	return r, nil
+}
+
+const (
+	readyTimeout = 30 * time.Second
+	readyCheck   = 50 * time.Millisecond
+)
+
+// waitReady waits until each backend server has exactly one owner with the full
+// share and all routers have the configuration.
+func (f *Fleet) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for !f.Settled() {
+		select {
+		case <-ctx.Done():
+			return waxfleet.NewError(waxfleet.CodeInternal, "the embedded fleet did not become ready in %s", readyTimeout)
+		case <-time.After(readyCheck):
+		}
+	}
+	return nil
+}
+
+// Settled reports whether each backend server has an owner with the full share
+// and all routers take calls.
+func (f *Fleet) Settled() bool {
+	for _, r := range f.routers {
+		if !r.Node.Ready() {
+			return false
+		}
+	}
+	for _, id := range f.BackendServers() {
+		if f.owners(id) != 1 {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *Fleet) owners(server string) int {
+	n := 0
+	for _, r := range f.routers {
+		if r.Node.Owns(server) {
+			n++
+		}
+	}
+	return n
+}
+
+// BackendServers returns the ids of all engines and plain servers.
+func (f *Fleet) BackendServers() []string {
+	var ids []string
+	for _, e := range f.engines {
+		ids = append(ids, e.ID())
+	}
+	for _, s := range f.services {
+		ids = append(ids, s.ID())
+	}
+	return ids
+}
+
+// Platform returns the platform stand-in.
+func (f *Fleet) Platform() *waxplatform.Platform { return f.platform }
+
+// Engines returns the engine stand-ins.
+func (f *Fleet) Engines() []*waxengine.Engine { return f.engines }
+
+// Services returns the servers of the plain service.
+func (f *Fleet) Services() []*waxservice.Service { return f.services }
+
+// Routers returns the instances; killed ones stay in the list until replaced.
+func (f *Fleet) Routers() []*Router { return f.routers }
+
+// CallerAddresses returns the addresses for callers.
+func (f *Fleet) CallerAddresses() []string {
+	var out []string
+	for _, r := range f.routers {
+		out = append(out, r.Node.CallerAddress())
+	}
+	return out
+}
+
+// Skew returns the highest in-flight load of an engine over the mean, and the
+// mean, as the stand-ins count it.
+func (f *Fleet) Skew() (skew, mean float64) {
+	highest, sum := 0, 0
+	for _, e := range f.engines {
+		n := e.InFlight()
+		highest = max(highest, n)
+		sum += n
+	}
+	mean = float64(sum) / float64(len(f.engines))
+	if sum == 0 {
+		return 0, 0
+	}
+	return float64(highest) / mean, mean
+}
--- a/waxrouter/main.go
+++ b/waxrouter/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 
@@ -29,7 +30,7 @@
 		SilenceUsage: true, SilenceErrors: true,
 	}
 	root.AddCommand(commands...)
-	if err := root.Execute(); err != nil {
+	if err := root.ExecuteContext(context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, "waxrouter:", err)
 		os.Exit(exitOf(err))
 	}
--- a/waxrouter/serve.go
+++ b/waxrouter/serve.go
@@ -33,9 +33,6 @@
 // serve runs the instance. The first SIGTERM or SIGINT drains it, the second
 // ends it at once.
 func serve(ctx context.Context, v *viper.Viper) error {
-	if ctx == nil {
-		ctx = context.Background()
-	}
 	log, err := logger(v.GetString("log-level"))
 	if err != nil {
 		return err
