--- a/waxfleet/waxconfig/rules.go
+++ b/waxfleet/waxconfig/rules.go
@@ -125,8 +125,9 @@
 		if err := json.Unmarshal(current, &value); err != nil {
 			return nil, waxfleet.WrapError(err, waxfleet.CodeInternal, "read section %s", SectionRules)
 		}
-		value.Rules = slices.Concat([]json.RawMessage{}, value.Rules)
-		value.Draining = slices.DeleteFunc(slices.Concat([]string{}, value.Draining), func(id string) bool { return id == backendServer })
+		// A nil list would be encoded as null, which a section may not hold.
+		value.Rules = append([]json.RawMessage{}, value.Rules...)
+		value.Draining = slices.DeleteFunc(append([]string{}, value.Draining...), func(id string) bool { return id == backendServer })
 		if draining {
 			value.Draining = append(value.Draining, backendServer)
 		}
