waxreplay: report a refused connection as peer-unreachable

A dial error was counted as outcome-unknown although nothing had been sent. It now has its own result code. The tests of the package pass, also with the race detector.

--- a/waxload/waxreplay/call.go
+++ b/waxload/waxreplay/call.go
@@ -7,10 +7,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 	"github.com/oklog/ulid/v2"
 
 	"waxwingdrift.org/waxfleet"
@@ -162,6 +164,10 @@
 	if ctx.Err() != nil {
 		return waxfleet.WrapError(err, waxfleet.CodeCancelled, "%s", text)
 	}
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return waxfleet.WrapError(err, waxfleet.CodePeerUnreachable, "no connection to the entry")
+	}
 	return waxfleet.WrapError(err, waxfleet.CodeOutcomeUnknown, "%s", text)
 }
 
--- a/waxload/waxreplay/replay_test.go
+++ b/waxload/waxreplay/replay_test.go
@@ -140,6 +140,17 @@
 	is.Equal(len(ids), 4000)
 }
 
+// TestUnreachable guards against a refused connection that is counted as an
+// unknown outcome.
+func TestUnreachable(t *testing.T) {
+	is := is.New(t)
+	r, err := New(DefaultOptions("127.0.0.1:1"), nil, waxfleet.NewClock())
+	is.NoErr(err)
+	s := r.Run(context.Background(), []waxtrace.Record{record(0)}).Samples[0]
+	is.Equal(s.Code, waxfleet.CodePeerUnreachable)
+	is.True(!s.Whole)
+}
+
 // TestBounds guards against a replay that goes on past its count or its context.
 func TestBounds(t *testing.T) {
 	is := is.New(t)
