--- a/waxfleet/waxobject/client_test.go
+++ b/waxfleet/waxobject/client_test.go
@@ -26,8 +26,8 @@
 		write  waxfleet.Code
 	}{
 		{"missing", status(404), waxfleet.CodeObjectNotFound, waxfleet.CodeObjectNotFound},
-		{"conflict", status(412), waxfleet.CodePlatformUnreachable, waxfleet.CodeObjectConflict},
-		{"too large", status(413), waxfleet.CodePlatformUnreachable, waxfleet.CodeBodyTooLarge},
+		{"conflict", status(412), waxfleet.CodeObjectConflict, waxfleet.CodeObjectConflict},
+		{"too large", status(413), waxfleet.CodeBodyTooLarge, waxfleet.CodeBodyTooLarge},
 		{"rate limit", status(429), waxfleet.CodePlatformRateLimited, waxfleet.CodePlatformRateLimited},
 		{"outage", status(503), waxfleet.CodePlatformUnreachable, waxfleet.CodePlatformUnreachable},
 		{"server error", status(500), waxfleet.CodePlatformUnreachable, waxfleet.CodePlatformUnknown},
