waxconfig: report lost update races as config-unavailable

TestLostAnswersRace failed in about 1 of 10 runs. Cause one: an edit whose head update met a conflict each time leaked object-conflict (6003) to the operator; it now gets config-unavailable (4005) with nothing changed.

--- a/waxfleet/waxconfig/editor.go
+++ b/waxfleet/waxconfig/editor.go
@@ -50,8 +50,9 @@
 // Errors: CodeConfigUnknownSection, CodeConfigInvalid and CodeConfigTooLarge;
 // a *ConflictError with CodeConfigConflict when another edit changed the same
 // section meanwhile; CodePlatformUnreachable or CodePlatformRateLimited when
-// nothing was changed; CodePlatformUnknown when it can't be told whether the
-// edit is in force; errors of change.
+// nothing was changed; CodeConfigUnavailable when other edits were faster each
+// time; CodePlatformUnknown when it can't be told whether the edit is in force;
+// errors of change.
 func (e *Editor) Edit(ctx context.Context, section string, change func(current []byte) ([]byte, error)) (uint64, error) {
 	if _, ok := defaultSections[section]; !ok {
 		return 0, unknownSection(section)
@@ -190,6 +191,10 @@
 			return 0, t.final(waxfleet.WrapError(err, waxfleet.CodePlatformUnreachable, "edit of section %s ended early", t.section))
 		}
 	}
+	if waxfleet.CodeOf(last) == waxfleet.CodeObjectConflict {
+		last = waxfleet.WrapError(last, waxfleet.CodeConfigUnavailable,
+			"the configuration changed before each of %d updates of section %s; nothing was changed, try again", maxEditTries, t.section)
+	}
 	return 0, t.final(last)
 }
 
