--- a/waxfleet/waxlease/allowance.go
+++ b/waxfleet/waxlease/allowance.go
@@ -65,8 +65,10 @@
 }
 
 // Allowance decides which share of a backend server's limit self may use at the
-// time now. leaseUntil is the end of self's own lease; since is when self
-// adopted the assignment.
+// time now. leaseUntil is the end of self's own lease; since is when self's view
+// of the succession last changed, by an assignment or a departure. The silence of
+// an owner counts from then: before, another member was the second whose
+// acknowledgement the owner relied on.
 func Allowance(self Member, server string, a Assignment, now, leaseUntil, since waxfleet.Millis, f Facts) Share {
 	if !a.Has(self) || f.Departed(self) {
 		return None
@@ -91,28 +93,43 @@
 	if now >= leaseUntil {
 		return LessReserve // detached: a successor may be using the reserve
 	}
-	if len(order) > 1 && !f.Stopped(order[1]) && now-f.Acknowledged(order[1]) > SecondContact {
+	if !secondHears(order, now, f) {
 		return LessReserve // the second may take this owner for silent
 	}
 	return Full
 }
 
-// inheritedShare is what the members of earlier epochs leave to self. In each
-// earlier epoch only the first two of the succession can be using a share: the
-// owner up to the limit without its reserve once its lease has lapsed, the
-// second the reserve.
+// secondHears reports whether the second in the succession has lately
+// acknowledged a digest of the owner. One whose process has ended may have
+// departed before, so that the next in line is the second.
+func secondHears(order []Member, now waxfleet.Millis, f Facts) bool {
+	for _, m := range order[1:] {
+		if !f.Stopped(m) {
+			return now-f.Acknowledged(m) <= SecondContact
+		}
+	}
+	return true
+}
+
+// inheritedShare is what the members of earlier epochs leave to self. A member
+// that has not confirmed the current epoch may act under an earlier one: as its
+// owner, up to the limit without its reserve once its lease has lapsed, or as
+// its second, with the reserve. Those before it in the succession may have
+// departed without self knowing it, unless they have confirmed the epoch: a
+// departure after that is not applied under an earlier epoch.
 func inheritedShare(self Member, server string, a Assignment, f Facts) Share {
 	owners := map[Member]bool{}
 	seconds := map[Member]bool{}
 	for _, group := range a.history {
-		order := succession(server, group, f.Departed)
-		for i, m := range order[:min(len(order), 2)] {
-			if m == self || f.Confirmed(m, a.epoch) || f.Stopped(m) {
-				continue
-			}
-			if i == 0 {
+		confirmed := 0
+		for _, m := range succession(server, group, f.Departed) {
+			switch {
+			case m == self || f.Confirmed(m, a.epoch):
+				confirmed++
+			case f.Stopped(m):
+			case confirmed == 0:
 				owners[m] = true
-			} else {
+			case confirmed == 1:
 				seconds[m] = true
 			}
 		}
--- a/waxfleet/waxlease/keeper.go
+++ b/waxfleet/waxlease/keeper.go
@@ -46,6 +46,7 @@
 	Epoch(member string) uint64
 	Departed(member string) bool
 	Restarted(member string) bool
+	LastDeparture() waxfleet.Millis
 }
 
 // Callbacks connect the keeper to the rest of the instance.
@@ -56,10 +57,13 @@
 	ConfigVersion func() uint64
 }
 
+// leaseSeen is the lease of another instance. since is when its version was
+// first read, confirmed when the latest read that still found it was sent.
 type leaseSeen struct {
-	version uint64
-	since   waxfleet.Millis
-	lease   Lease
+	version   uint64
+	since     waxfleet.Millis
+	confirmed waxfleet.Millis
+	lease     Lease
 }
 
 // Keeper renews the lease of this instance, follows the assignment of its
@@ -169,7 +173,7 @@
 func (k *Keeper) Share(server string) Share {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return Allowance(k.self, server, k.assignment, k.clock.Now(), k.leaseUntil, k.adopted, (*keeperFacts)(k))
+	return Allowance(k.self, server, k.assignment, k.clock.Now(), k.leaseUntil, max(k.adopted, k.peers.LastDeparture()), (*keeperFacts)(k))
 }
 
 // Owner returns the instance that owns the backend server of this failure
@@ -443,6 +447,7 @@
 // not heard, so that their lapse can be told.
 func (k *Keeper) observeSilent(ctx context.Context) {
 	for _, m := range k.silentMembers() {
+		sent := k.clock.Now()
 		o, err := k.store.Get(ctx, leaseKindPrefix+k.domain, m.instance)
 		if err != nil {
 			continue
@@ -452,9 +457,12 @@
 			continue
 		}
 		k.mu.Lock()
-		if seen, ok := k.leases[m.instance]; !ok || seen.version != o.Version() {
-			k.leases[m.instance] = leaseSeen{version: o.Version(), since: k.clock.Now(), lease: lease}
+		seen, ok := k.leases[m.instance]
+		if !ok || seen.version != o.Version() {
+			seen = leaseSeen{version: o.Version(), since: k.clock.Now(), lease: lease}
 		}
+		seen.confirmed = max(seen.confirmed, sent)
+		k.leases[m.instance] = seen
 		k.mu.Unlock()
 	}
 }
@@ -510,10 +518,12 @@
 	return f.firstList != 0 && f.lastList-alive > GoneFromList
 }
 
-// Lapsed implements Facts.
+// Lapsed implements Facts. Two reads of the same version must lie far enough
+// apart, both after the epoch was adopted: a renewal that began before the epoch
+// was written can still land, but lasts from its beginning only.
 func (f *keeperFacts) Lapsed(m Member) bool {
 	seen, ok := f.leases[m.instance]
-	return ok && f.clock.Now()-seen.since > LeaseLapse
+	return ok && seen.confirmed-max(seen.since, f.adopted) > LeaseLapse
 }
 
 // Heard implements Facts.
--- a/waxfleet/waxlease/model_test.go
+++ b/waxfleet/waxlease/model_test.go
@@ -101,6 +101,7 @@
 	running   map[string]*process
 	incarnate int
 	blocked   map[[2]string]bool
+	frozen    map[string]bool
 	letters   []letter
 }
 
@@ -113,7 +114,7 @@
 func newModel(n int) *model {
 	m := &model{
 		clock: waxfleet.NewManualClock(1_000_000), platform: &platform{objects: map[string]waxfleet.Object{}},
-		running: map[string]*process{}, blocked: map[[2]string]bool{},
+		running: map[string]*process{}, blocked: map[[2]string]bool{}, frozen: map[string]bool{},
 	}
 	for i := range n {
 		m.ids = append(m.ids, fmt.Sprintf("router-%d", i+1))
@@ -176,7 +177,7 @@
 
 // exchange swaps digests; either direction may be lost.
 func (m *model) exchange(a, b *process, loseReply bool) {
-	if a == b || m.blocked[[2]string{a.id, b.id}] || b.stopped || a.stopped {
+	if a == b || m.blocked[[2]string{a.id, b.id}] || b.stopped || a.stopped || m.frozen[a.id] || m.frozen[b.id] {
 		return
 	}
 	reply := b.table.Answer(a.table.Build(b.id))
@@ -206,7 +207,7 @@
 	ctx := context.Background()
 	for _, id := range m.ids {
 		p := m.running[id]
-		if p.stopped || p.departed {
+		if p.stopped || p.departed || m.frozen[id] {
 			continue
 		}
 		for _, other := range m.ids {
@@ -314,12 +315,31 @@
 	p.keeper.SetList(live)
 }
 
+// settled reports whether each backend server has one owner with the full share.
+func (m *model) settled() bool {
+	for _, server := range testServers {
+		full := 0
+		for _, p := range m.running {
+			if p.keeper.Share(server) == waxlease.Full {
+				full++
+			}
+		}
+		if full != 1 {
+			return false
+		}
+	}
+	return true
+}
+
 // settle heals everything and requires that each backend server then has one
 // owner with the full share.
 func (m *model) settle(t failer) {
 	m.heal()
 	for range 300 {
 		m.round(t)
+		if m.settled() {
+			return
+		}
 	}
 	for _, server := range testServers {
 		full := 0
--- a/waxfleet/waxmember/digest.go
+++ b/waxfleet/waxmember/digest.go
@@ -201,8 +201,9 @@
 		switch {
 		case known && p.instance.FailureDomain() != t.self.FailureDomain():
 			t.elsewhere[m] = true
-		case own && d.GetEpoch() <= epoch:
+		case own && d.GetEpoch() <= epoch && !t.departed[m]:
 			t.departed[m] = true
+			t.departedAt = t.clock.Now()
 		}
 	}
 	t.prune()
--- a/waxfleet/waxmember/table.go
+++ b/waxfleet/waxmember/table.go
@@ -98,6 +98,7 @@
 	totals      map[totalKey]domainTotal
 	assignments map[string]assignmentState
 	departed    map[string]bool
+	departedAt  waxfleet.Millis
 	// elsewhere holds the departed members of other failure domains. It only
 	// guides routing, so that it needs no epoch.
 	elsewhere map[string]bool
@@ -252,6 +253,14 @@
 	return t.departed[member]
 }
 
+// LastDeparture returns when this instance learned of the latest departure in
+// its failure domain.
+func (t *Table) LastDeparture() waxfleet.Millis {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.departedAt
+}
+
 // Restarted reports whether a later incarnation of the member's instance has
 // been heard.
 func (t *Table) Restarted(member string) bool {
