waxadmit, waxmember: keep the load limit with fresh counts and a margin

Tried and reverted: the lowest total of the last 2 s (covers a rise, not a fall); a remembered largest fall within 1.5 s subtracted from the total (over the limit 0.4%, but the limit fell below the mean and 39% were refused).

Change: instances tell their loads within 100 ms on one stream for each peer; the admission limit has a margin of 0.05; the mean is over warm engines; a late first byte is judged against the largest recent one; a wait at the holder lasts for the patience, whatever wait is expected; the time between ends is learned only while requests wait; standard patience 500 ms.

--- a/waxfleet/waxadmit/server.go
+++ b/waxfleet/waxadmit/server.go
@@ -95,7 +95,9 @@
 func (s *Server) Bound(limit int) int { return min(limit, s.window.Size()) }
 
 // Offer decides on a new request. A request that may wait is queued when the
-// queue has room and its turn is expected to come in time.
+// queue has room and its turn is expected to come before its deadline. The end of
+// its wait here is not compared with the expected one: places come irregularly,
+// and a try costs no more than the patience that the caller has offered.
 func (s *Server) Offer(t Ticket, now waxfleet.Millis, limit int) Verdict {
 	if len(s.queue) == 0 && s.Load() < s.Bound(limit) {
 		s.admit(t)
@@ -104,7 +106,7 @@
 	if t.spillAt <= now || t.deadline <= now || len(s.queue) >= s.queueLength {
 		return Spill
 	}
-	if now+s.expectedWait(t) > min(t.spillAt, t.deadline) {
+	if now+s.expectedWait(t) > t.deadline {
 		return Spill
 	}
 	t.queuedAt = now
@@ -124,10 +126,15 @@
 	return waxfleet.Millis(float64(ahead) * s.interval)
 }
 
-// End takes the end of an admitted request.
+// End takes the end of an admitted request. The time between ends is learned only
+// while requests wait.
 func (s *Server) End(o Outcome, now waxfleet.Millis) {
 	s.inFlight--
 	s.window.Done(o)
+	if len(s.queue) == 0 {
+		s.lastEnd = 0 // the time until the next end may hold idle time
+		return
+	}
 	if s.lastEnd != 0 {
 		sample := float64(now - s.lastEnd)
 		s.interval += intervalWeight * (sample - s.interval)
--- a/waxfleet/waxadmit/window.go
+++ b/waxfleet/waxadmit/window.go
@@ -10,13 +10,17 @@
 	initialWindow = 1
 	// maxWindow bounds the growth; the load limit binds long before it.
 	maxWindow = 1024
-	// firstByteJump is the factor on the usual first-byte time that counts as a
-	// sign of overload.
-	firstByteJump = 4.0
-	// firstByteWeight is the weight of a new sample in the moving average.
-	firstByteWeight = 0.1
-	// firstByteNoise is ignored in the comparison: below it, scheduling noise
-	// alone can be a factor of four.
+	// firstByteJump is the factor on the largest recent first-byte time that
+	// counts as a sign of overload. The largest and not the usual one: a prompt that
+	// misses the cache is as slow as an overloaded server, but not rare.
+	firstByteJump = 2.0
+	// firstByteDecay shrinks the largest first-byte time with each sample; half of
+	// it is forgotten after about 70.
+	firstByteDecay = 0.99
+	// firstByteSamples is the number of samples before any is judged.
+	firstByteSamples = 20
+	// firstByteNoise is ignored in the comparison: below it, scheduling noise alone
+	// can double the time.
 	firstByteNoise waxfleet.Millis = 200
 )
 
@@ -24,8 +28,10 @@
 type Outcome struct {
 	// OK is true for a whole answer.
 	OK bool
-	// Overloaded is true when the server refused the work or failed under it.
+	// Overloaded is true when the server refused the work or died under it.
 	Overloaded bool
+	// Failed is true when the server answered with an error or broke the answer.
+	Failed bool
 	// FirstByte is the time to the first byte, or negative when there was none.
 	FirstByte waxfleet.Millis
 }
@@ -38,6 +44,7 @@
 	warmSize    int
 	completed   int
 	firstByte   float64
+	samples     int
 	incarnation string
 	cold        bool
 }
@@ -81,14 +88,14 @@
 		w.reset()
 		return
 	}
-	if !o.OK {
-		return
-	}
-	if w.late(o.FirstByte) {
+	if o.Failed || (o.OK && w.late(o.FirstByte)) {
 		w.size = max(w.size/2, initialWindow)
 		w.completed = 0
 		return
 	}
+	if !o.OK {
+		return
+	}
 	if w.cold {
 		w.size++
 		w.cold = w.size < w.warmSize
@@ -103,22 +110,21 @@
 
 func (w *Window) reset() {
 	w.size = initialWindow
+	w.samples = 0
+	w.firstByte = 0
 	w.completed = 0
 	w.cold = true
 }
 
-// late keeps the moving average of the first-byte time and reports whether the
-// sample is a jump.
+// late keeps the largest recent first-byte time and reports whether the sample
+// is a jump above it.
 func (w *Window) late(firstByte waxfleet.Millis) bool {
 	if firstByte < 0 {
 		return false
 	}
 	sample := float64(firstByte)
-	usual := w.firstByte
-	if usual == 0 {
-		w.firstByte = sample
-		return false
-	}
-	w.firstByte = usual + firstByteWeight*(sample-usual)
-	return sample > usual*firstByteJump && firstByte > firstByteNoise
+	largest := w.firstByte * firstByteDecay
+	w.firstByte = max(largest, sample)
+	w.samples++
+	return w.samples > firstByteSamples && sample > largest*firstByteJump && firstByte > firstByteNoise
 }
--- a/waxfleet/waxconfig/pricetiers.go
+++ b/waxfleet/waxconfig/pricetiers.go
@@ -14,7 +14,7 @@
 	DeadlineMs int64   `json:"deadline-ms" validate:"gte=1,lte=3600000"`
 }
 
-var defaultTier = tierEntry{Price: 1, Priority: 1, PatienceMs: 300, DeadlineMs: 30_000}
+var defaultTier = tierEntry{Price: 1, Priority: 1, PatienceMs: 500, DeadlineMs: 30_000}
 
 type priceTiersPart struct {
 	byName map[string]waxfleet.Tier
@@ -25,7 +25,7 @@
 	name: SectionPriceTiers,
 	defaults: `{
 		"express":   {"price": 3.0, "priority": 0, "patience-ms": 0,     "deadline-ms": 10000},
-		"standard":  {"price": 1.0, "priority": 1, "patience-ms": 300,   "deadline-ms": 30000},
+		"standard":  {"price": 1.0, "priority": 1, "patience-ms": 500,   "deadline-ms": 30000},
 		"patient":   {"price": 0.6, "priority": 2, "patience-ms": 2000,  "deadline-ms": 60000},
 		"overnight": {"price": 0.3, "priority": 3, "patience-ms": 10000, "deadline-ms": 600000}
 	}`,
--- a/waxfleet/waxmember/table.go
+++ b/waxfleet/waxmember/table.go
@@ -54,6 +54,7 @@
 	config      uint64
 	leaving     bool
 	platform    bool
+	load        peerLoad
 	servers     map[string]*waxwire.BackendState
 }
 
@@ -335,35 +336,6 @@
 	return nil, false
 }
 
-// PeerLoad returns the requests in flight that other instances have reported for
-// a service, and the number of its live backend servers in the fleet.
-func (t *Table) PeerLoad(service string) (inFlight, servers int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.clock.Now()
-	for _, p := range t.peers {
-		if now-p.heard > FreshFor {
-			continue
-		}
-		for _, s := range p.servers {
-			if s.GetService() == service {
-				inFlight += int(s.GetInFlight())
-			}
-		}
-	}
-	for key, d := range t.totals {
-		if key.service == service && now-d.at <= FreshFor*2 {
-			inFlight += d.total.InFlight()
-		}
-	}
-	for _, b := range t.servers {
-		if b.Service() == service && b.State() == waxfleet.StateLive {
-			servers++
-		}
-	}
-	return inFlight, servers
-}
-
 // Assignment returns the newest known assignment of a failure domain.
 func (t *Table) Assignment(failureDomain string) waxlease.Assignment {
 	t.mu.Lock()
@@ -394,38 +366,48 @@
 	return totals
 }
 
-// ownTotal sums the counts of this failure domain. A server without an owner's
-// report counts as an engine with no load, which can only lower the mean.
+// ownTotal sums the counts of this failure domain over the backend servers that
+// the mean load is taken over.
 func (t *Table) ownTotal(service string) waxfleet.ServiceTotal {
 	now := t.clock.Now()
-	inFlight, free, engines := 0, 0, 0
-	count := func(s *waxwire.BackendState) {
-		if s.GetService() != service {
-			return
-		}
-		inFlight += int(s.GetInFlight())
-		if !s.GetResidual() && !s.GetLeaving() && !s.GetDead() {
-			bound := min(int(s.GetLimit()), int(s.GetWindow()))
-			free += max(bound-int(s.GetInFlight())-int(s.GetQueued()), 0)
-		}
-	}
-	for _, o := range t.own {
-		count(o.state)
-	}
+	inFlight, free, servers := t.ownCounts(service)
 	for _, p := range t.peers {
 		if now-p.heard > FreshFor {
 			continue
 		}
 		for _, s := range p.servers {
-			count(s)
+			free += freePlaces(service, s)
 		}
 	}
-	for _, b := range t.servers {
-		if b.Service() == service && b.FailureDomain() == t.self.FailureDomain() && b.State() == waxfleet.StateLive {
-			engines++
+	inFlight, servers = t.addDomainPeers(service, inFlight, servers)
+	return waxfleet.NewServiceTotal(service, t.self.FailureDomain(), inFlight, servers, free)
+}
+
+// ownCounts sums this instance's own counts.
+func (t *Table) ownCounts(service string) (inFlight, free, servers int) {
+	for _, o := range t.own {
+		s := o.state
+		if s.GetService() != service {
+			continue
+		}
+		if countsForMean(s) {
+			servers++
 		}
+		if countsForMean(s) || s.GetResidual() {
+			inFlight += int(s.GetInFlight())
+		}
+		free += freePlaces(service, s)
+	}
+	return inFlight, free, servers
+}
+
+// freePlaces returns the requests that could start at the backend server now.
+func freePlaces(service string, s *waxwire.BackendState) int {
+	if s.GetService() != service || s.GetResidual() || s.GetLeaving() || s.GetDead() {
+		return 0
 	}
-	return waxfleet.NewServiceTotal(service, t.self.FailureDomain(), inFlight, engines, free)
+	bound := min(int(s.GetLimit()), int(s.GetWindow()))
+	return max(bound-int(s.GetInFlight())-int(s.GetQueued()), 0)
 }
 
 // Refresh takes this instance's own backend states, so that totals are exact
--- a/waxfleet/waxnode/node.go
+++ b/waxfleet/waxnode/node.go
@@ -150,13 +150,15 @@
 	dispatcher := waxdispatch.New(n.clock, waxdispatch.Options{
 		ProgressTimeout: n.settings.ProgressTimeout, ReportDial: n.countedDial, Tracer: tracer,
 	}, n.log)
-	claims := waxclaim.New(ctx, n.store, n.clock, n.self.ID(), n.log)
+	claims := waxclaim.New(ctx, n.store, n.clock, waxlease.NewMember(n.self.ID(), n.incarnation).String(), n.log,
+		waxclaim.HolderStopped(n.table.Restarted))
 	n.owner = waxowner.New(ctx, waxowner.Parts{
 		Clock: n.clock, Config: n.config, Ownership: n.keeper, Table: n.table, Dispatcher: dispatcher,
 		Claims: claims, Suspects: n.suspects, Recorder: n.recorder, Log: n.log,
 		Spread: n.spread, News: n.news, Exceptions: n.settings.Exceptions,
 	})
 	n.table.Bind(&localState{node: n})
+	waxmember.NewBroadcaster(ctx, n.table, n.links, n.clock, n.owner.Loads, n.log)
 	n.exchanger = waxmember.NewExchanger(ctx, n.table, n.links, n.clock, n.importantPeers, n.log)
 	router := waxroute.New(waxroute.Parts{
 		Clock: n.clock, Config: n.config, Table: n.table, Links: n.links, Local: n.owner, Suspects: n.suspects,
--- a/waxfleet/waxnode/peerservice.go
+++ b/waxfleet/waxnode/peerservice.go
@@ -26,6 +26,15 @@
 	return connect.NewResponse(p.node.table.Answer(req.Msg)), nil
 }
 
+// Loads takes the loads of a peer as they change.
+func (p *peerService) Loads(ctx context.Context, stream *connect.ClientStream[waxwire.OwnedLoads]) (*connect.Response[waxwire.LoadsEnd], error) {
+	countControl(ctx)
+	if err := p.node.table.Receive(stream); err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&waxwire.LoadsEnd{}), nil
+}
+
 // FetchConfig returns the configuration in force, or an empty copy when the
 // caller has it.
 func (p *peerService) FetchConfig(ctx context.Context, req *connect.Request[waxwire.FetchConfigRequest]) (*connect.Response[waxwire.ConfigCopy], error) {
--- a/waxfleet/waxowner/owner.go
+++ b/waxfleet/waxowner/owner.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 
 	"waxwingdrift.org/waxfleet"
@@ -23,9 +24,6 @@
 	pollInterval waxfleet.Millis = 1_000
 	// pollTimeout bounds one load report.
 	pollTimeout waxfleet.Millis = 1_000
-	// meanMemory is how far back the lowest total load is taken for the limit. It
-	// covers the age of the counts that peers report.
-	meanMemory waxfleet.Millis = 1_000
 	// pauseGap is the gap between ticks after which the process counts as paused.
 	pauseGap waxfleet.Millis = 2_000
 	// resumeWait bounds the wait for news after a pause.
@@ -67,23 +65,17 @@
 
 	mu       sync.Mutex
 	gates    map[string]*gate
-	samples  map[string][]loadSample
 	paused   bool
 	lastTick waxfleet.Millis
 	stopping bool
 }
 
-type loadSample struct {
-	at    waxfleet.Millis
-	total int
-}
-
 // New returns an owner and starts its polling and queue work, which end with
 // ctx.
 func New(ctx context.Context, parts Parts) *Owner {
 	o := &Owner{
 		Parts: parts, exceptions: waxplace.NewExceptions(parts.Exceptions),
-		gates: map[string]*gate{}, samples: map[string][]loadSample{}, lastTick: parts.Clock.Now(),
+		gates: map[string]*gate{}, lastTick: parts.Clock.Now(),
 	}
 	go func() {
 		for o.Clock.Sleep(ctx, tickInterval) == nil {
@@ -172,34 +164,44 @@
 	}
 }
 
-// limit returns the load limit of a service. It uses the lowest total of the
-// last second, because the counts of peers are that old.
+// limit returns the load limit of a service at this moment. The counts of this
+// instance are exact, those of others as old as their last message.
 func (o *Owner) limit(cfg waxfleet.Config, service string) int {
-	total, servers := o.load(service)
-	now := o.Clock.Now()
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	for _, s := range o.samples[service] {
-		if now-s.at <= meanMemory {
-			total = min(total, s.total)
+	total, servers := o.Table.PeerLoad(service)
+	for _, l := range o.Loads() {
+		if l.GetService() == service {
+			total += int(l.GetInFlight())
+			servers += int(l.GetServers())
 		}
 	}
-	return waxplace.LoadLimit(cfg.Limits(), total, servers)
+	return waxplace.AdmissionLimit(cfg.Limits(), total, servers)
 }
 
-// load returns the requests in flight for a service, exact for those of this
-// instance.
-func (o *Owner) load(service string) (total, servers int) {
-	total, servers = o.Table.PeerLoad(service)
+// Loads returns the loads of this instance's warm backend servers by service.
+func (o *Owner) Loads() []*waxwire.OwnedLoad {
+	loads := map[string]*waxwire.OwnedLoad{}
 	for _, g := range o.allGates() {
-		if g.service != service {
-			continue
-		}
+		owned := o.Ownership.Owner(g.id) == o.Table.Self().ID()
 		g.mu.Lock()
-		total += g.admit.InFlight()
+		inFlight := g.admit.InFlight()
+		counts := owned && g.admit.Window().Warm() && !g.leaving && o.Clock.Now() >= g.deadTill
 		g.mu.Unlock()
+		if !counts && (owned || inFlight == 0) {
+			continue
+		}
+		l, ok := loads[g.service]
+		if !ok {
+			l = &waxwire.OwnedLoad{Service: g.service}
+			loads[g.service] = l
+		}
+		l.InFlight += int32(inFlight)
+		if counts {
+			l.Servers++
+		}
 	}
-	return total, servers
+	return slices.SortedFunc(maps.Values(loads), func(a, b *waxwire.OwnedLoad) int {
+		return strings.Compare(a.GetService(), b.GetService())
+	})
 }
 
 func (o *Owner) allGates() []*gate {
@@ -228,11 +230,8 @@
 
 // tick follows the instance list and moves the queues on.
 func (o *Owner) tick() {
-	now := o.Clock.Now()
 	listed := map[string]bool{}
-	services := map[string]bool{}
 	for _, b := range o.Table.Servers() {
-		services[b.Service()] = true
 		if b.FailureDomain() != o.Table.Self().FailureDomain() {
 			continue
 		}
@@ -241,9 +240,6 @@
 			g.setServer(b)
 		}
 	}
-	for service := range services {
-		o.sample(service, now)
-	}
 	for _, g := range o.allGates() {
 		g.tick(o.condition(g))
 		o.dropIfGone(g, listed[g.id])
@@ -268,19 +264,6 @@
 	delete(o.gates, g.id)
 }
 
-func (o *Owner) sample(service string, now waxfleet.Millis) {
-	total, _ := o.load(service)
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	kept := o.samples[service][:0]
-	for _, s := range o.samples[service] {
-		if now-s.at <= meanMemory {
-			kept = append(kept, s)
-		}
-	}
-	o.samples[service] = append(kept, loadSample{at: now, total: total})
-}
-
 // poll fetches the load reports of the backend servers that this instance may
 // admit to, as owner or as second.
 func (o *Owner) poll(ctx context.Context) {
@@ -323,11 +306,6 @@
 		}
 		g.mu.Unlock()
 	}
-	slices.SortFunc(states, func(a, b *waxwire.BackendState) int {
-		if a.GetId() < b.GetId() {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(states, func(a, b *waxwire.BackendState) int { return strings.Compare(a.GetId(), b.GetId()) })
 	return states
 }
--- a/waxfleet/waxowner/serve.go
+++ b/waxfleet/waxowner/serve.go
@@ -245,6 +245,10 @@
 		OK: err == nil, Overloaded: res.Busy || res.Died || (err != nil && !gone && waxfleet.CodeOf(err) == waxfleet.CodeNoBackendServer),
 		FirstByte: res.FirstByte,
 	}
+	switch waxfleet.CodeOf(err) {
+	case waxfleet.CodeBackendError, waxfleet.CodeStreamIncomplete, waxfleet.CodeAnswerMismatch:
+		outcome.Failed = !gone
+	}
 	g.end(outcome, o.condition(g))
 	o.Recorder.Record(r.GetRequestId(), "ran", fmt.Sprintf("backend-server=%s whole=%t events=%d first-byte-ms=%d code=%s",
 		g.id, res.Whole, res.Events, res.FirstByte, waxfleet.CodeOf(err).Name()))
--- a/waxfleet/waxwire/waxwireconnect/peer.connect.go
+++ b/waxfleet/waxwire/waxwireconnect/peer.connect.go
@@ -38,6 +38,8 @@
 	PeerServeProcedure = "/waxwire.Peer/Serve"
 	// PeerExchangeProcedure is the fully-qualified name of the Peer's Exchange RPC.
 	PeerExchangeProcedure = "/waxwire.Peer/Exchange"
+	// PeerLoadsProcedure is the fully-qualified name of the Peer's Loads RPC.
+	PeerLoadsProcedure = "/waxwire.Peer/Loads"
 	// PeerFetchConfigProcedure is the fully-qualified name of the Peer's FetchConfig RPC.
 	PeerFetchConfigProcedure = "/waxwire.Peer/FetchConfig"
 	// PeerSpreadSuspectProcedure is the fully-qualified name of the Peer's SpreadSuspect RPC.
@@ -57,6 +59,9 @@
 	Serve(context.Context, *connect.Request[waxwire.ServeRequest]) (*connect.ServerStreamForClient[waxwire.ServeReply], error)
 	// Exchange swaps membership digests.
 	Exchange(context.Context, *connect.Request[waxwire.Digest]) (*connect.Response[waxwire.Digest], error)
+	// Loads receives the loads of the backend servers that the caller owns, as
+	// they change.
+	Loads(context.Context) *connect.ClientStreamForClient[waxwire.OwnedLoads, waxwire.LoadsEnd]
 	// FetchConfig returns the configuration that the instance holds.
 	FetchConfig(context.Context, *connect.Request[waxwire.FetchConfigRequest]) (*connect.Response[waxwire.ConfigCopy], error)
 	// SpreadSuspect records a suspect digest and passes it on inside the domain.
@@ -93,6 +98,12 @@
 			connect.WithSchema(peerMethods.ByName("Exchange")),
 			connect.WithClientOptions(opts...),
 		),
+		loads: connect.NewClient[waxwire.OwnedLoads, waxwire.LoadsEnd](
+			httpClient,
+			baseURL+PeerLoadsProcedure,
+			connect.WithSchema(peerMethods.ByName("Loads")),
+			connect.WithClientOptions(opts...),
+		),
 		fetchConfig: connect.NewClient[waxwire.FetchConfigRequest, waxwire.ConfigCopy](
 			httpClient,
 			baseURL+PeerFetchConfigProcedure,
@@ -130,6 +141,7 @@
 type peerClient struct {
 	serve         *connect.Client[waxwire.ServeRequest, waxwire.ServeReply]
 	exchange      *connect.Client[waxwire.Digest, waxwire.Digest]
+	loads         *connect.Client[waxwire.OwnedLoads, waxwire.LoadsEnd]
 	fetchConfig   *connect.Client[waxwire.FetchConfigRequest, waxwire.ConfigCopy]
 	spreadSuspect *connect.Client[waxwire.Suspect, waxwire.SpreadReply]
 	relayObject   *connect.Client[waxwire.ObjectCall, waxwire.ObjectResult]
@@ -147,6 +159,11 @@
 	return c.exchange.CallUnary(ctx, req)
 }
 
+// Loads calls waxwire.Peer.Loads.
+func (c *peerClient) Loads(ctx context.Context) *connect.ClientStreamForClient[waxwire.OwnedLoads, waxwire.LoadsEnd] {
+	return c.loads.CallClientStream(ctx)
+}
+
 // FetchConfig calls waxwire.Peer.FetchConfig.
 func (c *peerClient) FetchConfig(ctx context.Context, req *connect.Request[waxwire.FetchConfigRequest]) (*connect.Response[waxwire.ConfigCopy], error) {
 	return c.fetchConfig.CallUnary(ctx, req)
@@ -179,6 +196,9 @@
 	Serve(context.Context, *connect.Request[waxwire.ServeRequest], *connect.ServerStream[waxwire.ServeReply]) error
 	// Exchange swaps membership digests.
 	Exchange(context.Context, *connect.Request[waxwire.Digest]) (*connect.Response[waxwire.Digest], error)
+	// Loads receives the loads of the backend servers that the caller owns, as
+	// they change.
+	Loads(context.Context, *connect.ClientStream[waxwire.OwnedLoads]) (*connect.Response[waxwire.LoadsEnd], error)
 	// FetchConfig returns the configuration that the instance holds.
 	FetchConfig(context.Context, *connect.Request[waxwire.FetchConfigRequest]) (*connect.Response[waxwire.ConfigCopy], error)
 	// SpreadSuspect records a suspect digest and passes it on inside the domain.
@@ -211,6 +231,12 @@
 		connect.WithSchema(peerMethods.ByName("Exchange")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerLoadsHandler := connect.NewClientStreamHandler(
+		PeerLoadsProcedure,
+		svc.Loads,
+		connect.WithSchema(peerMethods.ByName("Loads")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerFetchConfigHandler := connect.NewUnaryHandler(
 		PeerFetchConfigProcedure,
 		svc.FetchConfig,
@@ -247,6 +273,8 @@
 			peerServeHandler.ServeHTTP(w, r)
 		case PeerExchangeProcedure:
 			peerExchangeHandler.ServeHTTP(w, r)
+		case PeerLoadsProcedure:
+			peerLoadsHandler.ServeHTTP(w, r)
 		case PeerFetchConfigProcedure:
 			peerFetchConfigHandler.ServeHTTP(w, r)
 		case PeerSpreadSuspectProcedure:
@@ -274,6 +302,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("waxwire.Peer.Exchange is not implemented"))
 }
 
+func (UnimplementedPeerHandler) Loads(context.Context, *connect.ClientStream[waxwire.OwnedLoads]) (*connect.Response[waxwire.LoadsEnd], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("waxwire.Peer.Loads is not implemented"))
+}
+
 func (UnimplementedPeerHandler) FetchConfig(context.Context, *connect.Request[waxwire.FetchConfigRequest]) (*connect.Response[waxwire.ConfigCopy], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("waxwire.Peer.FetchConfig is not implemented"))
 }
--- a/waxload/waxpolicy/owner.go
+++ b/waxload/waxpolicy/owner.go
@@ -9,8 +9,6 @@
 )
 
 const (
-	// meanMemory is how long the owner keeps the lowest mean.
-	meanMemory waxfleet.Millis = 2000
 	// maxRedirects is how many redirects the entry follows.
 	maxRedirects = 4
 	// allDomains is the name of the only domain when domains are ignored.
@@ -30,8 +28,8 @@
 	// views are the loads as the last digests had them, newest last.
 	views   []view
 	waiting map[uint64]*job
-	// means are by domain the mean loads of the last meanMemory.
-	means map[string][]meanSample
+	// totals are by domain the loads of all warm engines, as its owners see them.
+	totals map[string]waxfleet.ServiceTotal
 }
 
 type view struct {
@@ -39,11 +37,6 @@
 	loads map[string]int
 }
 
-type meanSample struct {
-	at    waxfleet.Millis
-	total int
-}
-
 func newOwner(r *replay, flat bool) *owner {
 	o := &owner{
 		r: r, flat: flat,
@@ -51,7 +44,7 @@
 		tables:  map[string]*waxplace.Exceptions{},
 		owners:  map[string]string{},
 		waiting: map[uint64]*job{},
-		means:   map[string][]meanSample{},
+		totals:  map[string]waxfleet.ServiceTotal{},
 	}
 	for _, e := range r.engines {
 		o.servers[e.id] = waxadmit.NewServer(r.opts.Limits)
@@ -88,20 +81,20 @@
 		}
 	}
 	o.views = append(o.views, v)
-	for len(o.views) > 1 && o.views[1].at <= now-meanMemory-o.r.opts.ViewLag {
+	for len(o.views) > 1 && o.views[1].at <= now-o.r.opts.ViewLag {
 		o.views = o.views[1:]
 	}
 	for i := range o.r.opts.Domains {
-		o.sampleMean(domainName(i))
+		o.sampleTotal(domainName(i))
 	}
 	for _, e := range o.r.engines {
 		o.serveQueue(e)
 	}
 }
 
-// sampleMean keeps the total that owners in the domain see: their own domain as
+// sampleTotal keeps the total that owners in the domain see: their own domain as
 // in the last digests, the others ViewLag later.
-func (o *owner) sampleMean(domain string) {
+func (o *owner) sampleTotal(domain string) {
 	newest := o.views[len(o.views)-1]
 	older := o.views[0]
 	for _, v := range o.views {
@@ -109,39 +102,28 @@
 			older = v
 		}
 	}
-	total := 0
+	total, servers := 0, 0
 	for _, e := range o.r.engines {
-		if !e.eligible() {
+		if !e.eligible() || e.cold(o.r.now) {
 			continue
 		}
+		servers++
 		if e.domain == domain {
 			total += newest.loads[e.id]
 		} else {
 			total += older.loads[e.id]
 		}
 	}
-	o.means[domain] = append(o.means[domain], meanSample{at: o.r.now, total: total})
-	for o.means[domain][0].at < o.r.now-meanMemory {
-		o.means[domain] = o.means[domain][1:]
-	}
+	o.totals[domain] = waxfleet.NewServiceTotal("", domain, total, servers, 0)
 }
 
-// limit is the load limit that the owner of e uses: from the lowest total seen.
+// limit is the load limit that the owner of e uses.
 func (o *owner) limit(e *engine) int {
-	servers := len(o.r.eligible(allDomains))
-	samples := o.means[e.domain]
-	if len(samples) == 0 {
-		return waxplace.LoadLimit(o.r.opts.Limits, 0, servers)
-	}
-	lowest := samples[0].total
-	for _, s := range samples {
-		lowest = min(lowest, s.total)
-	}
+	total, servers := o.totals[e.domain].InFlight(), o.totals[e.domain].Servers()
 	if o.r.opts.ViewLag == 0 {
-		total, _ := o.r.total()
-		lowest = min(lowest, total)
+		total, servers = o.r.total()
 	}
-	return waxplace.LoadLimit(o.r.opts.Limits, lowest, servers)
+	return waxplace.AdmissionLimit(o.r.opts.Limits, total, servers)
 }
 
 // candidates are the engines in rendezvous order as the owner of home sees them:
--- a/waxload/waxpolicy/replay.go
+++ b/waxload/waxpolicy/replay.go
@@ -66,8 +66,8 @@
 
 const (
 	samplePeriod waxfleet.Millis = 100
-	// tickPeriod is the period of digests between owners.
-	tickPeriod waxfleet.Millis = 500
+	// tickPeriod is the period of the loads that owners tell each other.
+	tickPeriod waxfleet.Millis = 100
 	// maxAttempts bounds how often a request starts again after its engine died.
 	maxAttempts = 3
 )
@@ -175,10 +175,11 @@
 	return ids
 }
 
-// total returns the requests in flight and the number of eligible engines.
+// total returns the requests in flight at the eligible warm engines, and their
+// number: the mean load is taken over these.
 func (r *replay) total() (inFlight, servers int) {
 	for _, e := range r.engines {
-		if e.eligible() {
+		if e.eligible() && !e.cold(r.now) {
 			inFlight += e.inFlight()
 			servers++
 		}
