--- /dev/null
+++ b/waxload/waxexperiment/experiment.go
@@ -0,0 +1,346 @@
+// Package waxexperiment replays a trace against an embedded fleet and measures
+// what the stand-ins and the callers see.
+package waxexperiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxplace"
+	"waxwingdrift.org/waxload/waxembed"
+	"waxwingdrift.org/waxload/waxreplay"
+	"waxwingdrift.org/waxload/waxreport"
+	"waxwingdrift.org/waxload/waxtrace"
+	"waxwingdrift.org/waxstandin/waxengine"
+)
+
+// Scenario is what happens to the fleet during the replay.
+type Scenario string
+
+// Scenarios. Flap kills one engine after the other and restarts it; Domain takes
+// the first failure domain out after a third of the trace and brings it back
+// after two thirds.
+const (
+	Steady Scenario = "steady"
+	Flap   Scenario = "flap"
+	Domain Scenario = "domain"
+)
+
+const (
+	sampleInterval   = 100 * time.Millisecond
+	progressInterval = 5 * time.Second
+	// flapInterval is the time between the kills of engines, flapDown the time that
+	// each is gone.
+	flapInterval = 8 * time.Second
+	flapDown     = 2 * time.Second
+	// minSkewMean is the mean load below which skew says little.
+	minSkewMean = 2.0
+)
+
+// Progress is told while an experiment runs.
+type Progress struct {
+	Elapsed  time.Duration
+	InFlight int
+	Skew     float64
+}
+
+// Options describe an experiment.
+type Options struct {
+	Fleet      waxembed.Options
+	Scenario   Scenario
+	CacheShare float64
+	TimeScale  float64
+	Progress   func(Progress)
+}
+
+// DefaultOptions returns the fleet of make run.
+func DefaultOptions() Options {
+	return Options{
+		Fleet: waxembed.DefaultOptions(), Scenario: Steady, CacheShare: 0.5, TimeScale: 1,
+		Progress: func(Progress) {},
+	}
+}
+
+// Outcome is what an experiment has measured.
+type Outcome struct {
+	Input  waxreport.Input
+	Report waxreport.Report
+	// Admissions is the number of runs that the engines started; OverLimit of them
+	// were above the load limit at that moment, at most by the factor LimitRatio.
+	Admissions int
+	OverLimit  int
+	LimitRatio float64
+	// ColdExcess counts starts above what a cold engine bears.
+	ColdExcess int
+	// LateStarts counts starts in a failure domain later than 3 s after it was
+	// taken out.
+	LateStarts int
+}
+
+// WriteChecks prints the counts that the engines' histories give.
+func (o Outcome) WriteChecks(w io.Writer) error {
+	_, err := fmt.Fprintf(w, "\nengine starts %d, above the load limit %d (largest load / limit %.2f), above a cold window %d, late in a domain that is out %d\n",
+		o.Admissions, o.OverLimit, o.LimitRatio, o.ColdExcess, o.LateStarts)
+	return err
+}
+
+// experiment is a running experiment.
+type experiment struct {
+	opts  Options
+	fleet *waxembed.Fleet
+	start time.Time
+
+	mu     sync.Mutex
+	skew   []waxreport.SkewSample
+	outAt  waxfleet.Millis
+	backAt waxfleet.Millis
+}
+
+// Run starts a fleet, replays the trace against it and returns what was measured.
+func Run(ctx context.Context, records []waxtrace.Record, opts Options) (Outcome, error) {
+	if !slices.Contains([]Scenario{Steady, Flap, Domain}, opts.Scenario) {
+		return Outcome{}, waxfleet.NewError(waxfleet.CodeSettingInvalid, "scenario %q is not steady, flap or domain", opts.Scenario)
+	}
+	opts.Fleet.Engine.CacheBlocks = max(int(waxtrace.LiveBlocks(records)*opts.CacheShare)/opts.Fleet.Engines, 1)
+	opts.Fleet.Workspaces = workspaces(records)
+	fleetCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	fleet, err := waxembed.Start(fleetCtx, opts.Fleet)
+	if err != nil {
+		return Outcome{}, err
+	}
+	replayOptions := waxreplay.DefaultOptions(fleet.CallerAddresses()...)
+	replayOptions.Model, replayOptions.Service = waxembed.ChatModel, waxembed.PlainService
+	replayOptions.OncePath, replayOptions.TimeScale = waxembed.OncePath, opts.TimeScale
+	replayer, err := waxreplay.New(replayOptions, Verify, waxfleet.NewClock())
+	if err != nil {
+		return Outcome{}, err
+	}
+	e := &experiment{opts: opts, fleet: fleet, start: time.Now()}
+	before := controlBytes(fleet)
+	watchCtx, stopWatch := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { e.sample(watchCtx) })
+	wg.Go(func() { e.act(watchCtx, length(records, opts.TimeScale)) })
+	result := replayer.Run(ctx, records)
+	elapsed := time.Since(e.start)
+	stopWatch()
+	wg.Wait()
+	in := waxreport.Input{
+		Title: "embedded fleet, " + string(opts.Scenario), Samples: result.Samples, Gaps: result.Gaps,
+		Skew: e.skew, Control: control(fleet, before, elapsed),
+	}
+	outcome := Outcome{Input: in, Report: waxreport.Build(in)}
+	e.check(&outcome)
+	return outcome, nil
+}
+
+// Verify checks that an answer is whole and the request's own.
+func Verify(body []byte, tokens []string) error {
+	want, err := waxengine.Answer(body)
+	if err != nil {
+		return err
+	}
+	for i, t := range tokens {
+		tokens[i] = trimToken(t)
+	}
+	tokens = slices.DeleteFunc(tokens, func(t string) bool { return t == "" })
+	if !slices.Equal(tokens, want) {
+		return errors.Newf("the answer has %d tokens and is not the expected one of %d", len(tokens), len(want))
+	}
+	return nil
+}
+
+func trimToken(t string) string {
+	for len(t) > 0 && t[0] == ' ' {
+		t = t[1:]
+	}
+	return t
+}
+
+func workspaces(records []waxtrace.Record) []string {
+	var names []string
+	for _, r := range records {
+		if !slices.Contains(names, r.Workspace) {
+			names = append(names, r.Workspace)
+		}
+	}
+	return names
+}
+
+func length(records []waxtrace.Record, scale float64) time.Duration {
+	if len(records) == 0 {
+		return 0
+	}
+	last := records[len(records)-1].Timestamp - records[0].Timestamp
+	return time.Duration(float64(last.Duration()) / scale)
+}
+
+func controlBytes(f *waxembed.Fleet) map[string]int64 {
+	bytes := map[string]int64{}
+	for _, r := range f.Routers() {
+		bytes[r.ID] = r.Node.ControlBytes()
+	}
+	return bytes
+}
+
+func control(f *waxembed.Fleet, before map[string]int64, elapsed time.Duration) []waxreport.ControlSample {
+	var out []waxreport.ControlSample
+	for _, r := range f.Routers() {
+		rate := float64(r.Node.ControlBytes()-before[r.ID]) / elapsed.Seconds()
+		out = append(out, waxreport.ControlSample{Instance: r.ID, BytesPerSecond: rate})
+	}
+	return out
+}
+
+// sample records the skew as the engines count it.
+func (e *experiment) sample(ctx context.Context) {
+	ticker := time.NewTicker(sampleInterval)
+	defer ticker.Stop()
+	told := time.Duration(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		at := time.Since(e.start)
+		skew, mean := e.fleet.Skew()
+		if mean >= minSkewMean {
+			e.skew = append(e.skew, waxreport.SkewSample{At: at, Skew: skew})
+		}
+		if at-told >= progressInterval {
+			told = at
+			e.opts.Progress(Progress{Elapsed: at, InFlight: int(mean * float64(len(e.fleet.Engines()))), Skew: skew})
+		}
+	}
+}
+
+// act carries out the scenario.
+func (e *experiment) act(ctx context.Context, length time.Duration) {
+	switch e.opts.Scenario {
+	case Flap:
+		e.flap(ctx)
+	case Domain:
+		e.moveDomain(ctx, length)
+	case Steady:
+	}
+}
+
+func (e *experiment) flap(ctx context.Context) {
+	for i := 0; sleep(ctx, flapInterval); i++ {
+		engine := e.fleet.Engines()[i%len(e.fleet.Engines())]
+		engine.Kill()
+		if !sleep(ctx, flapDown) {
+			return
+		}
+		_ = engine.Restart()
+	}
+}
+
+func (e *experiment) moveDomain(ctx context.Context, length time.Duration) {
+	clock := waxfleet.NewClock()
+	name := waxembed.Domains()[0]
+	if !sleep(ctx, length/3) {
+		return
+	}
+	if _, err := e.fleet.SetDomain(ctx, name, false); err != nil {
+		return
+	}
+	e.setMove(&e.outAt, clock.Now())
+	if !sleep(ctx, length/3) {
+		return
+	}
+	e.setMove(&e.backAt, clock.Now())
+	_, _ = e.fleet.SetDomain(ctx, name, true)
+}
+
+func (e *experiment) setMove(at *waxfleet.Millis, now waxfleet.Millis) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	*at = now
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// check replays the engines' histories in the order of time and compares each
+// start with the load limit at that moment.
+func (e *experiment) check(o *Outcome) {
+	events, engines := e.history()
+	limits := waxfleet.NewLimits(1.25, 8, 64, 8, 1<<20)
+	state := map[string]*engineState{}
+	for _, id := range engines {
+		state[id] = &engineState{warm: e.opts.Fleet.Engine.StartWarm}
+	}
+	for _, ev := range events {
+		s := state[ev.Engine]
+		if ev.Kind == waxengine.EventEnd {
+			s.inFlight = max(s.inFlight-1, 0)
+			s.warm = !ev.Cold
+			continue
+		}
+		s.inFlight = ev.InFlight
+		s.warm = !ev.Cold
+		o.Admissions++
+		if ev.Cold && ev.ColdInFlight > ev.Window {
+			o.ColdExcess++
+		}
+		if e.outAt != 0 && ev.At > e.outAt+3_000 && (e.backAt == 0 || ev.At < e.backAt) && e.inFirstDomain(ev.Engine) {
+			o.LateStarts++
+		}
+		total, warm := totals(state)
+		limit := waxplace.LoadLimit(limits, total-1, warm)
+		ratio := float64(ev.InFlight) / float64(limit)
+		o.LimitRatio = max(o.LimitRatio, ratio)
+		if ratio > 1 {
+			o.OverLimit++
+		}
+	}
+}
+
+type engineState struct {
+	inFlight int
+	warm     bool
+}
+
+func totals(state map[string]*engineState) (total, warm int) {
+	for _, s := range state {
+		if s.warm {
+			total += s.inFlight
+			warm++
+		}
+	}
+	return total, warm
+}
+
+func (e *experiment) inFirstDomain(engine string) bool {
+	for _, x := range e.fleet.Engines() {
+		if x.ID() == engine {
+			return x.FailureDomain() == waxembed.Domains()[0]
+		}
+	}
+	return false
+}
+
+func (e *experiment) history() (events []waxengine.Event, engines []string) {
+	for _, x := range e.fleet.Engines() {
+		events = append(events, x.History()...)
+		engines = append(engines, x.ID())
+	}
+	slices.SortStableFunc(events, func(a, b waxengine.Event) int { return int(a.At - b.At) })
+	return events, engines
+}
--- a/waxload/waxtrace/record.go
+++ b/waxload/waxtrace/record.go
@@ -129,3 +129,6 @@
 	}
 	return nil
 }
+
+// Parse reads a trace that is in memory; name stands for it in errors.
+func Parse(data []byte, name string) ([]Record, error) { return Read(bytes.NewReader(data), name) }
