--- a/waxfleet/waxmember/exchanger.go
+++ b/waxfleet/waxmember/exchanger.go
@@ -26,7 +26,7 @@
 	contactAge waxfleet.Millis = 900
 	// remoteRounds is the number of rounds for each exchange with a failure
 	// domain.
-	remoteRounds = 2
+	remoteRounds = 4
 	// gateways is the number of instances of a failure domain that exchange with
 	// each other one; two, so that the loss of one costs nothing.
 	gateways = 2
--- a/waxfleet/waxmember/loads.go
+++ b/waxfleet/waxmember/loads.go
@@ -15,7 +15,7 @@
 
 const (
 	// LoadInterval is the least time between two messages of loads to one peer.
-	LoadInterval waxfleet.Millis = 100
+	LoadInterval waxfleet.Millis = 200
 	// loadRefresh is the longest time between two, so that a peer can tell silence
 	// from a load that stays the same.
 	loadRefresh waxfleet.Millis = 1_000
--- a/waxfleet/waxowner/owner.go
+++ b/waxfleet/waxowner/owner.go
@@ -22,6 +22,9 @@
 	tickInterval waxfleet.Millis = 50
 	// pollInterval is the time between load reports of a backend server.
 	pollInterval waxfleet.Millis = 1_000
+	// secondPollRounds is the number of rounds between load reports of a backend
+	// server that another instance owns.
+	secondPollRounds = 5
 	// pollTimeout bounds one load report.
 	pollTimeout waxfleet.Millis = 1_000
 	// pauseGap is the gap between ticks after which the process counts as paused.
@@ -84,8 +87,8 @@
 		}
 	}()
 	go func() {
-		for o.Clock.Sleep(ctx, pollInterval) == nil {
-			o.poll(ctx)
+		for round := 0; o.Clock.Sleep(ctx, pollInterval) == nil; round++ {
+			o.poll(ctx, round)
 		}
 	}()
 	return o
@@ -265,13 +268,17 @@
 }
 
 // poll fetches the load reports of the backend servers that this instance may
-// admit to, as owner or as second.
-func (o *Owner) poll(ctx context.Context) {
+// admit to: in each round those that it has a share of, and more rarely those
+// where it is the second, so that it knows them when it takes over.
+func (o *Owner) poll(ctx context.Context, round int) {
 	var wg sync.WaitGroup
 	for _, g := range o.allGates() {
 		if !slices.Contains(o.Ownership.Candidates(g.id), o.Table.Self().ID()) {
 			continue
 		}
+		if round%secondPollRounds != 0 && o.Ownership.Share(g.id) == waxlease.None {
+			continue
+		}
 		wg.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, pollTimeout.Duration())
 			defer cancel()
