waxload: add the command latency

What the fleet adds to a streamed request was not measured. The command starts an embedded fleet and has each of N streams send the same request to its engine and through the fleet in turn, so that both see the same load. It reports added latency and CPU time per request; the direct path is subtracted, since stand-ins and callers share the process.

--- /dev/null
+++ b/waxload/latency.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"io"
+	"runtime/pprof"
+
+	"github.com/spf13/cobra"
+
+	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxload/waxlatency"
+)
+
+func init() {
+	cmd := &cobra.Command{
+		Use:   "latency",
+		Short: "Measure the latency and CPU time that the fleet adds to a stream",
+		Args:  cobra.NoArgs,
+		RunE:  runLatency,
+	}
+	d := waxlatency.DefaultOptions()
+	f := cmd.Flags()
+	f.Int("streams", d.Streams, "concurrent streams")
+	f.Duration("duration", d.Duration, "length of the latency phase and of each CPU phase")
+	f.Duration("warmup", d.Warmup, "load before the latency phase")
+	f.Int("routers", d.Routers, "router instances")
+	f.Int("engines", d.Engines, "engines")
+	f.Int("tokens", d.Tokens, "tokens of each answer")
+	f.Duration("token-interval", d.TokenInterval.Duration(), "time between two tokens")
+	f.Uint64("seed", d.Seed, "seed of the order of direct and routed requests")
+	f.String("output", "table", "table or json")
+	f.String("cpu-profile", "", "file for a CPU profile of the whole run")
+	root.AddCommand(cmd)
+}
+
+func runLatency(cmd *cobra.Command, _ []string) error {
+	v, err := settings(cmd)
+	if err != nil {
+		return err
+	}
+	output := v.GetString("output")
+	if output != "table" && output != "json" {
+		return waxfleet.NewError(waxfleet.CodeSettingInvalid, "output %q is neither table nor json", output)
+	}
+	opts := waxlatency.Options{
+		Streams: v.GetInt("streams"), Duration: v.GetDuration("duration"), Warmup: v.GetDuration("warmup"),
+		Routers: v.GetInt("routers"), Engines: v.GetInt("engines"), Tokens: v.GetInt("tokens"),
+		TokenInterval: waxfleet.MillisOf(v.GetDuration("token-interval")), Seed: v.GetUint64("seed"),
+	}
+	var result waxlatency.Result
+	err = profiled(v.GetString("cpu-profile"), func() error {
+		result, err = waxlatency.Run(cmd.Context(), opts)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	if output == "json" {
+		return result.WriteJSON(cmd.OutOrStdout())
+	}
+	return result.WriteTable(cmd.OutOrStdout())
+}
+
+// profiled runs work and writes a CPU profile of it; an empty path writes none.
+func profiled(path string, work func() error) error {
+	if path == "" {
+		return work()
+	}
+	return writeFile(path, func(w io.Writer) error {
+		if err := pprof.StartCPUProfile(w); err != nil {
+			return err
+		}
+		defer pprof.StopCPUProfile()
+		return work()
+	})
+}
--- /dev/null
+++ b/waxload/waxlatency/measure_test.go
@@ -0,0 +1,74 @@
+package waxlatency
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"waxwingdrift.org/waxfleet"
+)
+
+func small() Options {
+	opts := DefaultOptions()
+	opts.Streams, opts.Routers, opts.Engines, opts.Tokens = 6, 4, 4, 4
+	opts.Duration, opts.Warmup, opts.TokenInterval = 300*time.Millisecond, 0, 5
+	return opts
+}
+
+// Guards against a measurement that loses requests or compares paths of which
+// one was not taken.
+func TestBothPathsAreMeasured(t *testing.T) {
+	is := is.New(t)
+	r, err := Run(context.Background(), small())
+	is.NoErr(err)
+	is.True(r.Direct.Requests >= 6)
+	is.Equal(r.Direct.Requests, r.Routed.Requests) // taken in pairs
+	is.Equal(r.Direct.Failures+r.Routed.Failures+r.Direct.CPUFailures+r.Routed.CPUFailures, int64(0))
+	is.True(r.Direct.FirstByte.P50 > 0 && r.Routed.Total.P50 >= r.Routed.FirstByte.P50)
+	var out bytes.Buffer
+	is.NoErr(r.WriteJSON(&out))
+	var again Result
+	is.NoErr(json.Unmarshal(out.Bytes(), &again))
+	is.Equal(again, r)
+	out.Reset()
+	is.NoErr(r.WriteTable(&out))
+	is.True(strings.Contains(out.String(), "first byte, added"))
+}
+
+// Guards against an answer that was cut or refused and counts as measured.
+func TestCutAnswerIsAFailure(t *testing.T) {
+	is := is.New(t)
+	for _, answer := range []string{"data: {}\n\n", "data: [DONE]\n\n"} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if strings.Contains(answer, "DONE") {
+				w.WriteHeader(http.StatusTooManyRequests)
+			}
+			_, _ = w.Write([]byte(answer))
+		}))
+		defer s.Close()
+		_, err := newCaller("chat-1", 1).call(t.Context(), s.Listener.Addr().String(), "ws-01")
+		is.Equal(waxfleet.CodeOf(err), waxfleet.CodeStreamIncomplete)
+		h := newHistograms()
+		h.add(timing{}, err)
+		is.Equal(h.requests, int64(0))
+		is.Equal(h.failures, int64(1))
+		is.True(errors.Is(h.lastError, err))
+	}
+}
+
+// Guards against settings outside the bounds of a load run.
+func TestSettingsAreChecked(t *testing.T) {
+	is := is.New(t)
+	opts := small()
+	opts.Streams = 10_000
+	_, err := Run(context.Background(), opts)
+	is.Equal(waxfleet.CodeOf(err), waxfleet.CodeSettingInvalid)
+}
