--- a/waxfleet/waxmember/links.go
+++ b/waxfleet/waxmember/links.go
@@ -96,13 +96,20 @@
 	serve   waxwireconnect.PeerClient
 }
 
+// DialFunc opens a connection to "ip:port".
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewLinks returns links without connections; they open on first use and close
-// when ctx ends. The options are for the clients of callers' requests.
-func NewLinks(ctx context.Context, counter *ByteCounter, options ...connect.ClientOption) *Links {
+// when ctx ends. dial opens them; nil is the system's. The options are for the
+// clients of callers' requests.
+func NewLinks(ctx context.Context, dial DialFunc, counter *ByteCounter, options ...connect.ClientOption) *Links {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
 	l := &Links{
 		options: options,
-		control: &http.Client{Transport: newTransport(counter)},
-		serve:   &http.Client{Transport: newTransport(nil)},
+		control: &http.Client{Transport: newTransport(dial, counter)},
+		serve:   &http.Client{Transport: newTransport(dial, nil)},
 		clients: map[string]linkClients{},
 	}
 	go func() {
@@ -134,15 +141,14 @@
 	return c
 }
 
-func newTransport(counter *ByteCounter) *http.Transport {
+func newTransport(dial DialFunc, counter *ByteCounter) *http.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
 		Protocols: protocols,
 		HTTP2:     &http.HTTP2Config{SendPingTimeout: pingAfterSilence, PingTimeout: pingTimeout},
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			conn, err := dial(ctx, network, address)
 			if err != nil || counter == nil {
 				return conn, err
 			}
--- a/waxfleet/waxnode/node.go
+++ b/waxfleet/waxnode/node.go
@@ -138,28 +138,29 @@
 	n.metrics = waxmetric.New(ctx, n.self.ID())
 	n.recorder = waxrecord.NewRecorder(n.clock, n.self.ID(), n.settings.Records)
 	n.suspects = waxsuspect.New(n.clock)
-	n.links = waxmember.NewLinks(ctx, n.counter, connect.WithInterceptors(interceptor))
+	n.links = waxmember.NewLinks(ctx, n.settings.Hooks.Dial, n.counter, connect.WithInterceptors(interceptor))
 	n.table = waxmember.NewTable(n.clock, n.self, n.incarnation)
 	n.setSeeds()
 	n.platform = waxobject.NewClient("http://"+n.settings.PlatformAddress, n.self.ID(), &http.Client{Transport: n.countedTransport()})
-	n.store = waxobject.NewFallback(n.platform, n.relays)
+	n.store = n.settings.Hooks.store(waxobject.NewFallback(n.platform, n.relays))
 	n.config = waxconfig.NewHolder(ctx, n.store, n.clock, n.log, n.configChanged)
 	n.keeper = waxlease.NewKeeper(ctx, n.store, n.table, n.clock, n.incarnation, waxlease.Callbacks{
 		Changed: n.assignmentChanged, ConfigVersion: n.ConfigVersion,
 	}, n.log)
-	dispatcher := waxdispatch.New(n.clock, waxdispatch.Options{
+	config := n.settings.Hooks.config(n.config)
+	dispatcher := n.settings.Hooks.dispatcher(waxdispatch.New(n.clock, waxdispatch.Options{
 		ProgressTimeout: n.settings.ProgressTimeout, ReportDial: n.countedDial, Tracer: tracer,
-	}, n.log)
+	}, n.log))
 	claims := waxclaim.New(ctx, n.store, n.clock, n.self.ID(), n.log)
 	n.owner = waxowner.New(ctx, waxowner.Parts{
-		Clock: n.clock, Config: n.config, Ownership: n.keeper, Table: n.table, Dispatcher: dispatcher,
+		Clock: n.clock, Config: config, Ownership: n.keeper, Table: n.table, Dispatcher: dispatcher,
 		Claims: claims, Suspects: n.suspects, Recorder: n.recorder, Log: n.log,
 		Spread: n.spread, News: n.news, Exceptions: n.settings.Exceptions,
 	})
 	n.table.Bind(&localState{node: n})
 	n.exchanger = waxmember.NewExchanger(ctx, n.table, n.links, n.clock, n.importantPeers, n.log)
 	router := waxroute.New(waxroute.Parts{
-		Clock: n.clock, Config: n.config, Table: n.table, Links: n.links, Local: n.owner, Suspects: n.suspects,
+		Clock: n.clock, Config: config, Table: n.table, Links: n.links, Local: n.owner, Suspects: n.suspects,
 		Recorder: n.recorder, Tracer: tracer, Log: n.log, DomainExceptions: n.settings.Exceptions,
 	})
 	n.callers = &http.Server{
--- a/waxfleet/waxnode/settings.go
+++ b/waxfleet/waxnode/settings.go
@@ -37,6 +37,8 @@
 	Records int
 	// TraceWriter receives spans as JSON; nil turns tracing off.
 	TraceWriter io.Writer
+	// Hooks replace parts; the router sets none.
+	Hooks Hooks
 }
 
 // Defaults of the settings.
--- a/waxload/waxembed/fleet.go
+++ b/waxload/waxembed/fleet.go
@@ -47,6 +47,11 @@
 	Limits string
 	// Tiers replaces the section price-tiers when it is not empty.
 	Tiers string
+	// SeedPeers gives each new router the addresses of those before it, for
+	// starts without the platform.
+	SeedPeers bool
+	// Hooks returns the hooks of a router; nil is none.
+	Hooks func(id, failureDomain string) waxnode.Hooks
 }
 
 // DefaultOptions returns 7 routers, 18 warm engines and a plain service of 4
@@ -184,11 +189,18 @@
 // ends with ctx.
 func (f *Fleet) StartRouter(ctx context.Context, id, failureDomain string) (*Router, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	node, err := waxnode.New(ctx, waxnode.Settings{
+	settings := waxnode.Settings{
 		InstanceID: id, FailureDomain: failureDomain, CallerAddress: loopback, PeerAddress: loopback,
 		PlatformAddress: f.platform.Address(), ProgressTimeout: f.opts.ProgressTimeout, ListInterval: 500,
 		Exceptions: waxnode.DefaultExceptions, Records: waxnode.DefaultRecords,
-	}, f.opts.Log)
+	}
+	if f.opts.SeedPeers {
+		settings.SeedPeers = f.seedPeers(id)
+	}
+	if f.opts.Hooks != nil {
+		settings.Hooks = f.opts.Hooks(id, failureDomain)
+	}
+	node, err := waxnode.New(ctx, settings, f.opts.Log)
 	if err != nil {
 		cancel()
 		return nil, err
@@ -205,6 +217,16 @@
 	return r, nil
 }
 
+func (f *Fleet) seedPeers(except string) []string {
+	var seeds []string
+	for _, r := range f.routers {
+		if r.ID != except {
+			seeds = append(seeds, fmt.Sprintf("%s=%s=%s", r.ID, r.FailureDomain, r.Node.PeerAddress()))
+		}
+	}
+	return seeds
+}
+
 const (
 	readyTimeout = 30 * time.Second
 	readyCheck   = 50 * time.Millisecond
--- a/waxstandin/waxplatform/instances.go
+++ b/waxstandin/waxplatform/instances.go
@@ -80,6 +80,13 @@
 	}
 }
 
+func (l *instanceList) setLag(lag waxfleet.Millis) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settle()
+	l.lag = lag
+}
+
 func (l *instanceList) show() Instances {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/waxstandin/waxplatform/platform.go
+++ b/waxstandin/waxplatform/platform.go
@@ -134,6 +134,10 @@
 // Remove takes a router or backend server off the list.
 func (p *Platform) Remove(id string) { p.list.set(id, listed{}) }
 
+// SetListLag replaces the age of what GET /instances shows. Changes that are
+// shown already stay.
+func (p *Platform) SetListLag(lag waxfleet.Millis) { p.list.setLag(lag) }
+
 // Instances returns the list as GET /instances shows it now.
 func (p *Platform) Instances() Instances { return p.list.show() }
 
