waxnode: read the instance list through peers when the platform is cut off

An owner that is cut off from the platform kept its last instance list. Entries that saw the mark did not choose the engine, those that did not asked the owner, which admitted.

A list that is more than 500 ms late is now read through a peer that reaches the platform, with the existing RelayObject call. Lists are taken in the order in which they were asked for.

--- a/waxfleet/waxnode/local.go
+++ b/waxfleet/waxnode/local.go
@@ -198,15 +198,23 @@
 	}
 }
 
-// relays returns object stores that go through peers, for when this instance is
+// relays returns the platform through peers, for when this instance is
 // cut off from the platform.
-func (n *Node) relays() []waxfleet.ObjectStore {
-	var stores []waxfleet.ObjectStore
+func (n *Node) relays() []*waxobject.Relay {
+	var relays []*waxobject.Relay
 	for _, link := range n.table.Links() {
-		if !link.Healthy() || len(stores) == relayLimit || !n.table.PlatformReachable(link.Peer().ID()) {
+		if !link.Healthy() || len(relays) == relayLimit || !n.table.PlatformReachable(link.Peer().ID()) {
 			continue
 		}
-		stores = append(stores, waxobject.NewRelay(n.links.Control(link.Peer().PeerAddress())))
+		relays = append(relays, waxobject.NewRelay(n.links.Control(link.Peer().PeerAddress())))
+	}
+	return relays
+}
+
+func (n *Node) relayStores() []waxfleet.ObjectStore {
+	var stores []waxfleet.ObjectStore
+	for _, r := range n.relays() {
+		stores = append(stores, r)
 	}
 	return stores
 }
--- a/waxfleet/waxnode/node.go
+++ b/waxfleet/waxnode/node.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -39,6 +40,9 @@
 	drainCheck waxfleet.Millis = 50
 	// relayLimit bounds the relays that an object call is tried through.
 	relayLimit = 2
+	// listCheck is how late the instance list may be before it is read through a
+	// peer, the time between checks for that, and the bound of such a read.
+	listCheck waxfleet.Millis = 500
 	// sweepInterval is the time between deletions of old claims.
 	sweepInterval waxfleet.Millis = 600_000
 )
@@ -72,6 +76,10 @@
 	assembled atomic.Bool
 	draining  atomic.Bool
 	active    atomic.Int64
+
+	listMu sync.Mutex
+	// listed is when the newest instance list in use was asked for.
+	listed waxfleet.Millis
 }
 
 // New starts an instance. It listens when New returns, and stops at once when
@@ -142,7 +150,7 @@
 	n.table = waxmember.NewTable(n.clock, n.self, n.incarnation)
 	n.setSeeds()
 	n.platform = waxobject.NewClient("http://"+n.settings.PlatformAddress, n.self.ID(), &http.Client{Transport: n.countedTransport()})
-	n.store = n.settings.Hooks.store(waxobject.NewFallback(n.platform, n.relays))
+	n.store = n.settings.Hooks.store(waxobject.NewFallback(n.platform, n.relayStores))
 	n.config = waxconfig.NewHolder(ctx, n.store, n.clock, n.log, n.configChanged)
 	n.keeper = waxlease.NewKeeper(ctx, n.store, n.table, n.clock, n.incarnation, waxlease.Callbacks{
 		Changed: n.assignmentChanged, ConfigVersion: n.ConfigVersion,
@@ -200,12 +208,17 @@
 func (n *Node) background(ctx context.Context, claims *waxclaim.Store) {
 	go func() {
 		for ctx.Err() == nil {
-			n.list(ctx)
+			n.list(ctx, n.platform)
 			if n.clock.Sleep(ctx, n.settings.ListInterval) != nil {
 				return
 			}
 		}
 	}()
+	go func() {
+		for n.clock.Sleep(ctx, listCheck) == nil {
+			n.relayList(ctx)
+		}
+	}()
 	go func() {
 		for n.clock.Sleep(ctx, waxmember.ExchangeInterval) == nil {
 			n.catchUpConfig(ctx)
@@ -226,16 +239,47 @@
 	}
 }
 
-// list reads the platform's instance list. While it can't be read, the last one
-// stays in use.
-func (n *Node) list(ctx context.Context) {
-	instances, servers, err := n.platform.ListInstances(ctx)
+// list reads the platform's instance list and reports success. While it can't
+// be read, the last one stays in use.
+func (n *Node) list(ctx context.Context, from waxfleet.InstanceLister) bool {
+	asked := n.clock.Now()
+	instances, servers, err := from.ListInstances(ctx)
 	if err != nil {
 		n.log.DebugContext(ctx, "instance list could not be read", "error", err)
-		return
+		return false
+	}
+	n.listMu.Lock()
+	defer n.listMu.Unlock()
+	if asked < n.listed {
+		return true // a read that was sent later has been taken
 	}
+	n.listed = asked
 	n.table.SetList(instances, servers)
 	n.keeper.SetList(instances)
+	return true
+}
+
+// relayList reads the instance list through peers when the platform has not
+// answered lately. An owner that is cut off from the platform would otherwise
+// give work to a backend server that only the list shows as leaving.
+func (n *Node) relayList(ctx context.Context) {
+	n.listMu.Lock()
+	late := n.clock.Now() - n.listed
+	n.listMu.Unlock()
+	if late <= n.settings.ListInterval+listCheck {
+		return
+	}
+	for _, relay := range n.relays() {
+		if n.listThrough(ctx, relay) {
+			return
+		}
+	}
+}
+
+func (n *Node) listThrough(ctx context.Context, relay *waxobject.Relay) bool {
+	ctx, cancel := context.WithTimeout(ctx, listCheck.Duration())
+	defer cancel()
+	return n.list(ctx, relay)
 }
 
 // setSeeds makes the instances of the settings known before the first list.
--- a/waxfleet/waxobject/client.go
+++ b/waxfleet/waxobject/client.go
@@ -185,15 +185,27 @@
 
 // ListInstances implements waxfleet.InstanceLister.
 func (c *Client) ListInstances(ctx context.Context) ([]waxfleet.Instance, []waxfleet.BackendServer, error) {
-	a, err := c.call(ctx, call{method: http.MethodGet, path: "/instances", maxBytes: maxListBytes, timeout: callTimeout})
+	raw, err := c.rawInstances(ctx)
 	if err != nil {
 		return nil, nil, err
 	}
+	return parseInstances(raw)
+}
+
+func (c *Client) rawInstances(ctx context.Context) ([]byte, error) {
+	a, err := c.call(ctx, call{method: http.MethodGet, path: "/instances", maxBytes: maxListBytes, timeout: callTimeout})
+	if err != nil {
+		return nil, err
+	}
 	if a.status != http.StatusOK {
-		return nil, nil, statusError(a, false)
+		return nil, statusError(a, false)
 	}
+	return a.body, nil
+}
+
+func parseInstances(raw []byte) ([]waxfleet.Instance, []waxfleet.BackendServer, error) {
 	var list instancesAnswer
-	if err := json.Unmarshal(a.body, &list); err != nil {
+	if err := json.Unmarshal(raw, &list); err != nil {
 		return nil, nil, waxfleet.WrapError(err, waxfleet.CodePlatformUnreachable, "the platform's instance list is malformed")
 	}
 	routers := make([]waxfleet.Instance, 0, len(list.Routers))
--- a/waxfleet/waxobject/relay.go
+++ b/waxfleet/waxobject/relay.go
@@ -15,6 +15,8 @@
 	verbGet    = "get"
 	verbPut    = "put"
 	verbDelete = "delete"
+	// verbInstances reads the instance list.
+	verbInstances = "instances"
 )
 
 // Relay is the Object API through a peer instance. It has no lists and no
@@ -52,12 +54,21 @@
 	return waxfleet.Object{}, waxfleet.NewError(waxfleet.CodePlatformUnreachable, "watches are not relayed")
 }
 
+// ListInstances implements waxfleet.InstanceLister.
+func (r *Relay) ListInstances(ctx context.Context) ([]waxfleet.Instance, []waxfleet.BackendServer, error) {
+	o, err := r.call(ctx, &waxwire.ObjectCall{Verb: verbInstances})
+	if err != nil {
+		return nil, nil, err
+	}
+	return parseInstances(o.Value())
+}
+
 // call sends one object call. When the peer is lost during a write, its outcome
 // is unknown.
 func (r *Relay) call(ctx context.Context, c *waxwire.ObjectCall) (waxfleet.Object, error) {
 	reply, err := r.peer.RelayObject(ctx, connect.NewRequest(c))
 	if err != nil {
-		if c.GetVerb() == verbGet {
+		if c.GetVerb() == verbGet || c.GetVerb() == verbInstances {
 			return waxfleet.Object{}, waxfleet.WrapError(err, waxfleet.CodePlatformUnreachable, "relay failed")
 		}
 		return waxfleet.Object{}, waxfleet.WrapError(err, waxfleet.CodePlatformUnknown, "relay failed; the write may have taken effect")
@@ -68,11 +79,15 @@
 	return waxfleet.NewObject(c.GetKind(), c.GetName(), reply.Msg.GetValue(), reply.Msg.GetVersion()), nil
 }
 
-// ServeRelay performs a relayed call at the store.
-func ServeRelay(ctx context.Context, store waxfleet.ObjectStore, c *waxwire.ObjectCall) *waxwire.ObjectResult {
+// ServeRelay performs a relayed call at the platform.
+func ServeRelay(ctx context.Context, store *Client, c *waxwire.ObjectCall) *waxwire.ObjectResult {
 	var o waxfleet.Object
 	var err error
 	switch c.GetVerb() {
+	case verbInstances:
+		var list []byte
+		list, err = store.rawInstances(ctx)
+		o = waxfleet.NewObject("", "", list, 0)
 	case verbGet:
 		o, err = store.Get(ctx, c.GetKind(), c.GetName())
 	case verbPut:
