--- a/waxload/waxbound/domain_test.go
+++ b/waxload/waxbound/domain_test.go
@@ -135,8 +135,10 @@
 func TestCheckQuietRejects(t *testing.T) {
 	is := is.New(t)
 	starts := []waxbound.Start{
-		{At: 100, Server: "e1", FailureDomain: "d"}, {At: 3_100, Server: "e1", FailureDomain: "d"},
-		{At: 3_101, Server: "e2", FailureDomain: "d"}, {At: 5_000, Server: "e3", FailureDomain: "other"},
+		{At: 100, Server: "e1", FailureDomain: "d"},
+		{At: 3_100, Server: "e1", FailureDomain: "d"},
+		{At: 3_101, Server: "e2", FailureDomain: "d"},
+		{At: 5_000, Server: "e3", FailureDomain: "other"},
 		{At: 9_000, Server: "e1", FailureDomain: "d"},
 	}
 	quiet := waxbound.Quiet{FailureDomain: "d", Since: 100, Until: 9_000, Grace: 3_000}
