--- a/waxfleet/waxnode/node.go
+++ b/waxfleet/waxnode/node.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -39,6 +40,9 @@
 	drainCheck waxfleet.Millis = 50
 	// relayLimit bounds the relays that an object call is tried through.
 	relayLimit = 2
+	// listCheck is how late the instance list may be before it is read through a
+	// peer, the time between checks for that, and the bound of such a read.
+	listCheck waxfleet.Millis = 500
 	// sweepInterval is the time between deletions of old claims.
 	sweepInterval waxfleet.Millis = 600_000
 )
@@ -72,6 +76,10 @@
 	assembled atomic.Bool
 	draining  atomic.Bool
 	active    atomic.Int64
+
+	listMu sync.Mutex
+	// listed is when the newest instance list in use was asked for.
+	listed waxfleet.Millis
 }
 
 // New starts an instance. It listens when New returns, and stops at once when
@@ -138,22 +146,23 @@
 	n.metrics = waxmetric.New(ctx, n.self.ID())
 	n.recorder = waxrecord.NewRecorder(n.clock, n.self.ID(), n.settings.Records)
 	n.suspects = waxsuspect.New(n.clock)
-	n.links = waxmember.NewLinks(ctx, n.counter, connect.WithInterceptors(interceptor))
+	n.links = waxmember.NewLinks(ctx, n.settings.Hooks.Dial, n.counter, connect.WithInterceptors(interceptor))
 	n.table = waxmember.NewTable(n.clock, n.self, n.incarnation)
 	n.setSeeds()
 	n.platform = waxobject.NewClient("http://"+n.settings.PlatformAddress, n.self.ID(), &http.Client{Transport: n.countedTransport()})
-	n.store = waxobject.NewFallback(n.platform, n.relays)
+	n.store = n.settings.Hooks.store(waxobject.NewFallback(n.platform, n.relayStores))
 	n.config = waxconfig.NewHolder(ctx, n.store, n.clock, n.log, n.configChanged)
 	n.keeper = waxlease.NewKeeper(ctx, n.store, n.table, n.clock, n.incarnation, waxlease.Callbacks{
 		Changed: n.assignmentChanged, ConfigVersion: n.ConfigVersion,
 	}, n.log)
-	dispatcher := waxdispatch.New(n.clock, waxdispatch.Options{
+	config := n.settings.Hooks.config(n.config)
+	dispatcher := n.settings.Hooks.dispatcher(waxdispatch.New(n.clock, waxdispatch.Options{
 		ProgressTimeout: n.settings.ProgressTimeout, ReportDial: n.countedDial, Tracer: tracer,
-	}, n.log)
+	}, n.log))
 	claims := waxclaim.New(ctx, n.store, n.clock, waxlease.NewMember(n.self.ID(), n.incarnation).String(), n.log,
 		waxclaim.HolderStopped(n.table.Restarted))
 	n.owner = waxowner.New(ctx, waxowner.Parts{
-		Clock: n.clock, Config: n.config, Ownership: n.keeper, Table: n.table, Dispatcher: dispatcher,
+		Clock: n.clock, Config: config, Ownership: n.keeper, Table: n.table, Dispatcher: dispatcher,
 		Claims: claims, Suspects: n.suspects, Recorder: n.recorder, Log: n.log,
 		Spread: n.spread, News: n.news, Exceptions: n.settings.Exceptions,
 	})
@@ -161,7 +170,7 @@
 	waxmember.NewBroadcaster(ctx, n.table, n.links, n.clock, n.owner.Loads, n.log)
 	n.exchanger = waxmember.NewExchanger(ctx, n.table, n.links, n.clock, n.importantPeers, n.log)
 	router := waxroute.New(waxroute.Parts{
-		Clock: n.clock, Config: n.config, Table: n.table, Links: n.links, Local: n.owner, Suspects: n.suspects,
+		Clock: n.clock, Config: config, Table: n.table, Links: n.links, Local: n.owner, Suspects: n.suspects,
 		Recorder: n.recorder, Tracer: tracer, Log: n.log, DomainExceptions: n.settings.Exceptions,
 	})
 	n.callers = &http.Server{
@@ -211,12 +220,17 @@
 func (n *Node) background(ctx context.Context, claims *waxclaim.Store) {
 	go func() {
 		for ctx.Err() == nil {
-			n.list(ctx)
+			n.list(ctx, n.platform)
 			if n.clock.Sleep(ctx, n.settings.ListInterval) != nil {
 				return
 			}
 		}
 	}()
+	go func() {
+		for n.clock.Sleep(ctx, listCheck) == nil {
+			n.relayList(ctx)
+		}
+	}()
 	go func() {
 		for n.clock.Sleep(ctx, waxmember.ExchangeInterval) == nil {
 			n.catchUpConfig(ctx)
@@ -237,16 +251,47 @@
 	}
 }
 
-// list reads the platform's instance list. While it can't be read, the last one
-// stays in use.
-func (n *Node) list(ctx context.Context) {
-	instances, servers, err := n.platform.ListInstances(ctx)
+// list reads the platform's instance list and reports success. While it can't
+// be read, the last one stays in use.
+func (n *Node) list(ctx context.Context, from waxfleet.InstanceLister) bool {
+	asked := n.clock.Now()
+	instances, servers, err := from.ListInstances(ctx)
 	if err != nil {
 		n.log.DebugContext(ctx, "instance list could not be read", "error", err)
-		return
+		return false
 	}
+	n.listMu.Lock()
+	defer n.listMu.Unlock()
+	if asked < n.listed {
+		return true // a read that was sent later has been taken
+	}
+	n.listed = asked
 	n.table.SetList(instances, servers)
 	n.keeper.SetList(instances)
+	return true
+}
+
+// relayList reads the instance list through peers when the platform has not
+// answered lately. An owner that is cut off from the platform would otherwise
+// give work to a backend server that only the list shows as leaving.
+func (n *Node) relayList(ctx context.Context) {
+	n.listMu.Lock()
+	late := n.clock.Now() - n.listed
+	n.listMu.Unlock()
+	if late <= n.settings.ListInterval+listCheck {
+		return
+	}
+	for _, relay := range n.relays() {
+		if n.listThrough(ctx, relay) {
+			return
+		}
+	}
+}
+
+func (n *Node) listThrough(ctx context.Context, relay *waxobject.Relay) bool {
+	ctx, cancel := context.WithTimeout(ctx, listCheck.Duration())
+	defer cancel()
+	return n.list(ctx, relay)
 }
 
 // setSeeds makes the instances of the settings known before the first list.
--- a/waxfleet/waxobject/client.go
+++ b/waxfleet/waxobject/client.go
@@ -49,6 +49,7 @@
 // instanceList is an instance list as the platform tagged it.
 type instanceList struct {
 	tag     string
+	raw     []byte
 	routers []waxfleet.Instance
 	servers []waxfleet.BackendServer
 }
@@ -197,6 +198,22 @@
 // only when it differs from the last one: in full, the list of the target fleet
 // takes 300 KB, at one read a second and instance.
 func (c *Client) ListInstances(ctx context.Context) ([]waxfleet.Instance, []waxfleet.BackendServer, error) {
+	list, err := c.readList(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	return slices.Clone(list.routers), slices.Clone(list.servers), nil
+}
+
+func (c *Client) rawInstances(ctx context.Context) ([]byte, error) {
+	list, err := c.readList(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return list.raw, nil
+}
+
+func (c *Client) readList(ctx context.Context) (*instanceList, error) {
 	known := c.list.Load()
 	header := http.Header{}
 	if known != nil {
@@ -204,22 +221,31 @@
 	}
 	a, err := c.call(ctx, call{method: http.MethodGet, path: "/instances", header: header, maxBytes: maxListBytes, timeout: callTimeout})
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	if a.status == http.StatusNotModified && known != nil {
-		return slices.Clone(known.routers), slices.Clone(known.servers), nil
+		return known, nil
 	}
 	if a.status != http.StatusOK {
-		return nil, nil, statusError(a, false)
+		return nil, statusError(a, false)
+	}
+	routers, servers, err := parseInstances(a.body)
+	if err != nil {
+		return nil, err
 	}
+	list := &instanceList{tag: a.header.Get("ETag"), raw: a.body, routers: routers, servers: servers}
+	if list.tag != "" {
+		c.list.Store(list)
+	}
+	return list, nil
+}
+
+func parseInstances(raw []byte) ([]waxfleet.Instance, []waxfleet.BackendServer, error) {
 	var list instancesAnswer
-	if err := json.Unmarshal(a.body, &list); err != nil {
+	if err := json.Unmarshal(raw, &list); err != nil {
 		return nil, nil, waxfleet.WrapError(err, waxfleet.CodePlatformUnreachable, "the platform's instance list is malformed")
 	}
 	routers, servers := list.instances()
-	if tag := a.header.Get("ETag"); tag != "" {
-		c.list.Store(&instanceList{tag: tag, routers: slices.Clone(routers), servers: slices.Clone(servers)})
-	}
 	return routers, servers, nil
 }
 
