--- a/waxctl/root.go
+++ b/waxctl/root.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net/http"
+	"net/url"
 	"os"
 	"strings"
 	"time"
@@ -15,6 +15,7 @@
 
 	"waxwingdrift.org/waxfleet"
 	"waxwingdrift.org/waxfleet/waxconfig"
+	"waxwingdrift.org/waxfleet/waxobject"
 )
 
 const (
@@ -26,6 +27,9 @@
 	outputJSON  = "json"
 
 	defaultTimeoutMs = 10_000
+
+	// clientName is the name that the platform counts the calls under.
+	clientName = "waxctl"
 )
 
 // app holds what the commands share.
@@ -106,15 +110,19 @@
 }
 
 // platform returns the client of the Object API and the instance list.
-func (a *app) platform() (platform, error) {
+func (a *app) platform() (*waxobject.Client, error) {
 	address := a.settings.GetString(flagPlatform)
 	if address == "" {
 		return nil, waxfleet.NewError(waxfleet.CodeSettingInvalid, "--%s: no value; allowed: the base URL of the Object API", flagPlatform)
 	}
-	if !strings.Contains(address, "://") {
-		address = "http://" + address
+	base := address
+	if !strings.Contains(base, "://") {
+		base = "http://" + base
+	}
+	if u, err := url.Parse(base); err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return nil, waxfleet.NewError(waxfleet.CodeSettingInvalid, "--%s: value %q; allowed: an http or https URL", flagPlatform, address)
 	}
-	return newPlatform(address, "waxctl", &http.Client{}), nil
+	return waxobject.NewClient(base, clientName, nil), nil
 }
 
 func (a *app) editor() (*waxconfig.Editor, error) {
--- a/waxctl/waxctl_test.go
+++ b/waxctl/waxctl_test.go
@@ -69,6 +69,20 @@
 		obj, err := store.Put(r.Context(), r.PathValue("kind"), r.PathValue("name"), value, version)
 		answer(w, nil, obj.Version(), err)
 	})
+	mux.HandleFunc("DELETE /objects/{kind}/{name}", func(w http.ResponseWriter, r *http.Request) {
+		var version uint64
+		_, _ = fmt.Sscanf(r.Header.Get("If-Match"), `"%d"`, &version)
+		answer(w, nil, 0, store.Delete(r.Context(), r.PathValue("kind"), r.PathValue("name"), version))
+	})
+	mux.HandleFunc("GET /objects/{kind}", func(w http.ResponseWriter, r *http.Request) {
+		objects, err := store.List(r.Context(), r.PathValue("kind"))
+		list := objectList{Objects: []listedObject{}}
+		for _, o := range objects {
+			list.Objects = append(list.Objects, listedObject{Name: o.Name(), Version: o.Version(), Value: o.Value()})
+		}
+		body, _ := json.Marshal(list)
+		answer(w, body, 0, err)
+	})
 	mux.HandleFunc("GET /instances", func(w http.ResponseWriter, r *http.Request) {
 		routers, servers, err := store.ListInstances(r.Context())
 		list := map[string][]map[string]string{}
@@ -90,6 +104,16 @@
 	return server.URL
 }
 
+type objectList struct {
+	Objects []listedObject `json:"objects"`
+}
+
+type listedObject struct {
+	Name    string `json:"name"`
+	Version uint64 `json:"version"`
+	Value   []byte `json:"value"`
+}
+
 func answer(w http.ResponseWriter, body []byte, version uint64, err error) {
 	switch waxfleet.CodeOf(err) {
 	case waxfleet.CodeOK:
@@ -138,6 +162,14 @@
 					t.Fatal(err)
 				}
 				return ""
+			case "edits":
+				return repeatEdits(t, url, dir, d)
+			case "stored":
+				objects, err := store.List(t.Context(), d.CmdArgs[0].Key)
+				if err != nil {
+					t.Fatal(err)
+				}
+				return fmt.Sprintf("%d objects\n", len(objects))
 			case "outage":
 				store.SetOutage(d.CmdArgs[0].Key == "on")
 				return ""
@@ -158,6 +190,24 @@
 	})
 }
 
+// repeatEdits edits section limits a number of times, with another value each time.
+func repeatEdits(t *testing.T, url, dir string, d *datadriven.TestData) string {
+	var count int
+	d.ScanArgs(t, "count", &count)
+	name := filepath.Join(dir, "edit")
+	for i := range count {
+		if err := os.WriteFile(name, fmt.Appendf(nil, `{"queue-length": %d}`, i+1), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		var out, errOut bytes.Buffer
+		args := []string{"--platform", url, "edit", "limits", "--file", name}
+		if code := run(t.Context(), args, strings.NewReader(""), &out, &errOut); code != 0 {
+			t.Fatalf("edit %d ended with exit code %d: %s", i, code, errOut.String())
+		}
+	}
+	return ""
+}
+
 var columnGap = regexp.MustCompile(`(\S) {2,}`)
 
 // trimLines removes trailing space, padding, which depends on the digits of a
