--- a/waxfleet/waxnode/node.go
+++ b/waxfleet/waxnode/node.go
@@ -10,6 +10,7 @@
 
 	"connectrpc.com/connect"
 	"connectrpc.com/otelconnect"
+	"github.com/cockroachdb/errors"
 	"github.com/oklog/ulid/v2"
 	"go.opentelemetry.io/otel/propagation"
 
@@ -67,6 +68,8 @@
 
 	callers *http.Server
 	peers   *http.Server
+	// flushSpans writes the spans that have ended.
+	flushSpans func(ctx context.Context) error
 	// assembled is set once all parts are in place; work that started earlier
 	// checks it before it uses a part that comes later.
 	assembled atomic.Bool
@@ -82,12 +85,12 @@
 	}
 	callerListener, err := net.Listen("tcp", settings.CallerAddress)
 	if err != nil {
-		return nil, waxfleet.WrapError(err, waxfleet.CodeSettingInvalid, "--caller-address %s can't be listened on", settings.CallerAddress)
+		return nil, waxfleet.WrapError(err, waxfleet.CodeSettingInvalid, "--caller-address is %q; allowed: a free address of this machine", settings.CallerAddress)
 	}
 	peerListener, err := net.Listen("tcp", settings.PeerAddress)
 	if err != nil {
 		_ = callerListener.Close()
-		return nil, waxfleet.WrapError(err, waxfleet.CodeSettingInvalid, "--peer-address %s can't be listened on", settings.PeerAddress)
+		return nil, waxfleet.WrapError(err, waxfleet.CodeSettingInvalid, "--peer-address is %q; allowed: a free address of this machine", settings.PeerAddress)
 	}
 	n := &Node{
 		settings: settings, incarnation: ulid.Make().String(), clock: waxfleet.NewClock(),
@@ -129,6 +132,10 @@
 	if err != nil {
 		return waxfleet.WrapError(err, waxfleet.CodeInternal, "tracing could not start")
 	}
+	n.flushSpans = func(context.Context) error { return nil }
+	if f, ok := provider.(spanFlusher); ok {
+		n.flushSpans = f.ForceFlush
+	}
 	tracer := provider.Tracer("waxwingdrift.org/waxfleet")
 	interceptor, err := otelconnect.NewInterceptor(otelconnect.WithTracerProvider(provider), otelconnect.WithPropagator(propagation.TraceContext{}),
 		otelconnect.WithTrustRemote(), otelconnect.WithoutMetrics())
@@ -270,10 +277,24 @@
 			return err
 		}
 	}
+	// An answer's last bytes leave after its work has ended: at the entry when the
+	// handler has returned, at the owner when the place is free again.
+	if err := errors.CombineErrors(n.callers.Shutdown(ctx), n.peers.Shutdown(ctx)); err != nil {
+		return err
+	}
 	n.log.InfoContext(ctx, "drained")
+	if err := n.flushSpans(ctx); err != nil {
+		n.log.WarnContext(ctx, "the last spans could not be written", "error", err)
+	}
 	return nil
 }
 
+// spanFlusher is a tracer provider that holds ended spans back to write several
+// at once.
+type spanFlusher interface {
+	ForceFlush(ctx context.Context) error
+}
+
 // count counts running calls, so that Drain can wait for them.
 func (n *Node) count(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
