--- a/waxrouter/serve.go
+++ b/waxrouter/serve.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	drainTimeout, err := number(v, "drain-timeout-ms")
+	longest, err := drainTimeout(v)
 	if err != nil {
 		return err
 	}
@@ -61,8 +61,8 @@
 	<-signals
 	drainCtx, stop := context.WithCancel(ctx)
 	defer stop()
-	if drainTimeout > 0 {
-		drainCtx, stop = context.WithTimeout(ctx, waxfleet.Millis(drainTimeout).Duration())
+	if longest > 0 {
+		drainCtx, stop = context.WithTimeout(ctx, longest.Duration())
 		defer stop()
 	}
 	go func() {
@@ -89,7 +89,7 @@
 	}
 	f, err := os.OpenFile(name, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
-		return nil, waxfleet.WrapError(err, waxfleet.CodeSettingInvalid, "--trace-file is %q and can't be written", name)
+		return nil, waxfleet.WrapError(err, waxfleet.CodeSettingInvalid, "--trace-file is %q; allowed: a file that can be written, - or nothing", name)
 	}
 	return f, nil
 }
--- a/waxrouter/settings.go
+++ b/waxrouter/settings.go
@@ -15,6 +15,10 @@
 
 const envPrefix = "WAX"
 
+// maxDrainTimeout is a day in ms. It keeps the time-out within what a duration
+// can hold.
+const maxDrainTimeout = 86_400_000
+
 // addFlags declares the settings. The settings reference is printed from them.
 func addFlags(f *pflag.FlagSet) {
 	f.String("instance-id", "", "name of this instance in the platform's instance list")
@@ -59,12 +63,30 @@
 	return n, nil
 }
 
+// list reads a list separated by commas; viper alone would split an environment
+// variable at white space.
+func list(v *viper.Viper, flag string) []string {
+	return strings.FieldsFunc(strings.Join(v.GetStringSlice(flag), ","), func(c rune) bool { return c == ',' })
+}
+
+// drainTimeout returns the longest graceful shutdown, or 0 for no limit.
+func drainTimeout(v *viper.Viper) (waxfleet.Millis, error) {
+	n, err := number(v, "drain-timeout-ms")
+	if err != nil {
+		return 0, err
+	}
+	if n < 0 || n > maxDrainTimeout {
+		return 0, waxfleet.NewError(waxfleet.CodeSettingInvalid, "--drain-timeout-ms is %q; allowed: 0 to %d", v.GetString("drain-timeout-ms"), maxDrainTimeout)
+	}
+	return waxfleet.Millis(n), nil
+}
+
 // settings reads the settings of the instance; waxnode checks their values.
 func settings(v *viper.Viper, traceWriter io.Writer) (waxnode.Settings, error) {
 	s := waxnode.Settings{
 		InstanceID: v.GetString("instance-id"), FailureDomain: v.GetString("failure-domain"),
 		CallerAddress: v.GetString("caller-address"), PeerAddress: v.GetString("peer-address"),
-		PlatformAddress: v.GetString("platform-address"), SeedPeers: v.GetStringSlice("seed-peers"),
+		PlatformAddress: v.GetString("platform-address"), SeedPeers: list(v, "seed-peers"),
 		TraceWriter: traceWriter,
 	}
 	numbers := map[string]int64{}
