--- a/waxfleet/waxmember/exchanger.go
+++ b/waxfleet/waxmember/exchanger.go
@@ -135,7 +135,7 @@
 	picked := e.urgent(own)
 	for i := range min(domainFanout, len(own)) {
 		peer := own[(round*domainFanout+i)%len(own)]
-		if !slices.Contains(picked, peer) {
+		if !slices.Contains(picked, peer) && !e.heardLately(peer, ExchangeInterval) {
 			picked = append(picked, peer)
 		}
 	}
@@ -143,13 +143,20 @@
 		return picked
 	}
 	for domain, peers := range remote {
-		if e.gateway(domain) {
+		lately := func(p waxfleet.Instance) bool { return e.heardLately(p, remoteRounds*ExchangeInterval) }
+		if e.gateway(domain) && !slices.ContainsFunc(peers, lately) {
 			picked = append(picked, peers[(round/remoteRounds)%len(peers)])
 		}
 	}
 	return picked
 }
 
+// heardLately reports whether a digest of the peer came within the interval. An
+// exchange serves both sides, so that the other need not start one as well.
+func (e *Exchanger) heardLately(peer waxfleet.Instance, interval waxfleet.Millis) bool {
+	return e.clock.Now()-e.table.heardFrom(peer.ID()) < interval
+}
+
 // gateway reports whether this instance exchanges with the other failure domain.
 // Two instances of each failure domain do, and pass on what they hear, so that
 // traffic between domains does not grow with their size.
@@ -214,6 +221,15 @@
 	return t.Build(d.GetInstance())
 }
 
+func (t *Table) heardFrom(instance string) waxfleet.Millis {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p, ok := t.peers[instance]; ok {
+		return p.heard
+	}
+	return never
+}
+
 func (t *Table) acknowledgedBy(instance string) waxfleet.Millis {
 	t.mu.Lock()
 	defer t.mu.Unlock()
