--- a/waxfleet/waxadmit/window.go
+++ b/waxfleet/waxadmit/window.go
@@ -47,6 +47,8 @@
 	samples     int
 	incarnation string
 	cold        bool
+	// saysCold is set while the server reports a cold start.
+	saysCold bool
 }
 
 // NewWindow returns the window of an unknown server. warmSize is the size at
@@ -68,6 +70,7 @@
 // being cold resets the window; a first report of a warm server opens it to the
 // load that the server already carries.
 func (w *Window) Report(r waxfleet.LoadReport) {
+	w.saysCold = r.Cold()
 	changed := r.Incarnation() != w.incarnation
 	first := w.incarnation == ""
 	w.incarnation = r.Incarnation()
@@ -80,9 +83,10 @@
 	}
 }
 
-// Done takes the end of one request. A server that is still cold gains one
-// place per completed request; a warm one doubles per full window of completed
-// work.
+// Done takes the end of one request. The window stays at its first size while
+// the server reports a cold start, because nobody knows how little it bears then.
+// After that it gains one place per completed request until the server counts as
+// warm, and doubles per full window of completed work from then on.
 func (w *Window) Done(o Outcome) {
 	if o.Overloaded {
 		w.reset()
@@ -96,6 +100,9 @@
 	if !o.OK {
 		return
 	}
+	if w.saysCold {
+		return
+	}
 	if w.cold {
 		w.size++
 		w.cold = w.size < w.warmSize
