waxload: add the command control

Measures the control traffic of embedded fleets of several sizes idle, under load and with configuration changes, and gives slopes. The embedded fleet puts engines only in failure domains that have a router, so that 3 routers can be measured.

--- /dev/null
+++ b/waxload/control.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"github.com/spf13/cobra"
+
+	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxload/waxcontrol"
+)
+
+func init() {
+	cmd := &cobra.Command{
+		Use:   "control",
+		Short: "Measure the control traffic of embedded fleets by size",
+		Args:  cobra.NoArgs,
+		RunE:  runControl,
+	}
+	d := waxcontrol.DefaultOptions()
+	f := cmd.Flags()
+	f.IntSlice("routers", d.Routers, "numbers of router instances, measured with the first number of engines")
+	f.IntSlice("engines", d.Engines, "numbers of engines; all but the first are measured with base-routers")
+	f.Int("base-routers", d.BaseRouters, "router instances for the numbers of engines")
+	f.Duration("idle", d.Idle, "length of the idle phase")
+	f.Duration("loaded", d.Loaded, "length of the phase under load")
+	f.Duration("changing", d.Changing, "length of the phase with configuration changes")
+	f.Duration("change-every", d.ChangeEvery, "time between two configuration changes")
+	f.Int("streams", d.Streams, "concurrent streams under load")
+	f.String("output", "table", "table or json")
+	root.AddCommand(cmd)
+}
+
+func runControl(cmd *cobra.Command, _ []string) error {
+	v, err := settings(cmd)
+	if err != nil {
+		return err
+	}
+	output := v.GetString("output")
+	if output != "table" && output != "json" {
+		return waxfleet.NewError(waxfleet.CodeSettingInvalid, "output %q is neither table nor json", output)
+	}
+	result, err := waxcontrol.Run(cmd.Context(), waxcontrol.Options{
+		Routers: v.GetIntSlice("routers"), Engines: v.GetIntSlice("engines"), BaseRouters: v.GetInt("base-routers"),
+		Idle: v.GetDuration("idle"), Loaded: v.GetDuration("loaded"), Changing: v.GetDuration("changing"),
+		ChangeEvery: v.GetDuration("change-every"), Streams: v.GetInt("streams"),
+	})
+	if err != nil {
+		return err
+	}
+	if output == "json" {
+		return result.WriteJSON(cmd.OutOrStdout())
+	}
+	return result.WriteTable(cmd.OutOrStdout())
+}
--- a/waxload/waxembed/fleet.go
+++ b/waxload/waxembed/fleet.go
@@ -112,7 +112,7 @@
 func (f *Fleet) startBackends(ctx context.Context) error {
 	for i := range f.opts.Engines {
 		o := f.opts.Engine
-		o.ID, o.FailureDomain = fmt.Sprintf("engine-%02d", i+1), Domains()[i%len(Domains())]
+		o.ID, o.FailureDomain = fmt.Sprintf("engine-%02d", i+1), f.domainOf(i)
 		o.Seed, o.Models = uint64(i+1), []string{ChatModel}
 		e, err := waxengine.New(ctx, o)
 		if err != nil {
@@ -122,7 +122,7 @@
 		f.platform.AddBackendServer(o.ID, ChatService, o.FailureDomain, e.Address())
 	}
 	for i := range f.opts.PlainServers {
-		o := waxservice.Options{ID: fmt.Sprintf("desk-%d", i+1), FailureDomain: Domains()[i%len(Domains())], Seed: uint64(i + 1)}
+		o := waxservice.Options{ID: fmt.Sprintf("desk-%d", i+1), FailureDomain: f.domainOf(i), Seed: uint64(i + 1)}
 		s, err := waxservice.New(ctx, o)
 		if err != nil {
 			return err
@@ -133,6 +133,12 @@
 	return nil
 }
 
+// domainOf returns the failure domain of backend server i, among those with a
+// router.
+func (f *Fleet) domainOf(i int) string {
+	return Domains()[i%min(len(Domains()), max(f.opts.Routers, 1))]
+}
+
 // configure writes the sections that the fleet needs.
 func (f *Fleet) configure(ctx context.Context) error {
 	type workspace struct {
--- a/waxload/waxlatency/measure.go
+++ b/waxload/waxlatency/measure.go
@@ -113,6 +113,20 @@
 	return result, nil
 }
 
+// Load keeps the given number of streams busy through the routers of a running
+// fleet for a time, and returns the number of whole answers.
+func Load(ctx context.Context, fleet *waxembed.Fleet, streams, tokens int, interval waxfleet.Millis, length time.Duration) (int64, error) {
+	b := newBench(Options{Streams: streams, Tokens: tokens, TokenInterval: interval}, fleet)
+	for i := range streams {
+		b.callers = append(b.callers, newCaller(fmt.Sprintf("load-%04d", i), tokens))
+	}
+	h := b.phase(ctx, length, routed)[routed]
+	if h.requests == 0 {
+		return 0, waxfleet.WrapError(h.lastError, waxfleet.CodeInternal, "no request was answered")
+	}
+	return h.requests, nil
+}
+
 func newBench(opts Options, fleet *waxembed.Fleet) *bench {
 	b := &bench{opts: opts, addresses: fleet.CallerAddresses(), engines: map[string]string{}, servers: make([]string, opts.Streams)}
 	for _, e := range fleet.Engines() {
--- a/waxload/waxlatency/options.go
+++ b/waxload/waxlatency/options.go
@@ -43,7 +43,7 @@
 		{"streams", o.Streams >= 1 && o.Streams <= 5_000},
 		{"duration", o.Duration > 0},
 		{"warmup", o.Warmup >= 0},
-		{"routers", o.Routers >= min(o.Engines, len(waxembed.Domains())) && o.Routers <= 50},
+		{"routers", o.Routers >= 1 && o.Routers <= 50},
 		{"engines", o.Engines >= 1 && o.Engines <= 200},
 		{"tokens", o.Tokens >= 1},
 		{"token-interval", o.TokenInterval >= 1},
