waxmember: hand out the list of backend servers without a copy

Each request made three copies of the fleet's list, in the order of a map. The list is now built once per instance list and shared read-only.

--- a/waxfleet/waxmember/table.go
+++ b/waxfleet/waxmember/table.go
@@ -3,7 +3,6 @@
 package waxmember
 
 import (
-	"maps"
 	"slices"
 	"sync"
 
@@ -89,12 +88,15 @@
 	incarnation string
 	local       Local
 
-	mu          sync.Mutex
-	seq         uint64
-	sentAt      map[uint64]waxfleet.Millis
-	own         map[string]ownState
-	peers       map[string]*peerState
-	servers     map[string]waxfleet.BackendServer
+	mu      sync.Mutex
+	seq     uint64
+	sentAt  map[uint64]waxfleet.Millis
+	own     map[string]ownState
+	peers   map[string]*peerState
+	servers map[string]waxfleet.BackendServer
+	// list holds servers in the order of the instance list. It is replaced, never
+	// changed, because each request reads it without the lock.
+	list        []waxfleet.BackendServer
 	totals      map[totalKey]domainTotal
 	assignments map[string]assignmentState
 	departed    map[string]bool
@@ -145,16 +147,22 @@
 		}
 	}
 	t.servers = make(map[string]waxfleet.BackendServer, len(servers))
+	t.list = make([]waxfleet.BackendServer, 0, len(servers))
 	for _, b := range servers {
+		if _, twice := t.servers[b.ID()]; twice {
+			continue
+		}
 		t.servers[b.ID()] = b
+		t.list = append(t.list, b)
 	}
 }
 
-// Servers returns the backend servers of the instance list.
+// Servers returns the backend servers of the instance list. The caller must not
+// change the slice.
 func (t *Table) Servers() []waxfleet.BackendServer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return slices.Collect(maps.Values(t.servers))
+	return t.list
 }
 
 // Server finds a backend server by id.
