waxowner: forget the window of a backend server that was not polled

An instance kept the concurrency window of a backend server from the time when it was first or second in the succession. When it became the owner again after the engine had restarted, it admitted up to that window until its first poll. A late report of the other owners was ruled out: they had polled the new incarnation 2.5 s before they left.

An instance that begins to admit and has no load report of the last 3 s (two polls and the time-out of one) now starts without history.

--- a/waxfleet/waxowner/gate.go
+++ b/waxfleet/waxowner/gate.go
@@ -16,10 +16,16 @@
 // its load before.
 const deadFor waxfleet.Millis = 3_000
 
+// staleReport is the age of the last load report from which on an instance that
+// begins to admit again knows nothing of the backend server: two polls and the
+// time-out of one have passed, and the server may have restarted.
+const staleReport waxfleet.Millis = 2*pollInterval + pollTimeout
+
 // gate is the admission state of one backend server at this instance.
 type gate struct {
 	id      string
 	service string
+	limits  waxfleet.Limits
 
 	mu       sync.Mutex
 	server   waxfleet.BackendServer
@@ -31,10 +37,14 @@
 	reported int
 	ownThen  int
 	suspect  bool
+	// reportedAt is when the last load report came, and admitting whether this
+	// instance had a share at the last look.
+	reportedAt waxfleet.Millis
+	admitting  bool
 }
 
 func newGate(b waxfleet.BackendServer, limits waxfleet.Limits) *gate {
-	return &gate{id: b.ID(), service: b.Service(), server: b, admit: waxadmit.NewServer(limits), waiters: map[uint64]chan waxadmit.Verdict{}}
+	return &gate{id: b.ID(), service: b.Service(), limits: limits, server: b, admit: waxadmit.NewServer(limits), waiters: map[uint64]chan waxadmit.Verdict{}}
 }
 
 // condition is what the owner knows outside the gate when it admits.
@@ -65,6 +75,10 @@
 // refresh sets the load that this instance has not admitted itself. While a
 // silent owner may still run work, the server's own report counts as well.
 func (g *gate) refresh(c condition) {
+	if c.share != waxlease.None && !g.admitting && c.now-g.reportedAt > staleReport {
+		g.forget()
+	}
+	g.admitting = c.share != waxlease.None
 	external := c.external
 	if c.share == waxlease.Reserve {
 		external = max(external, g.reported-g.ownThen)
@@ -72,6 +86,16 @@
 	g.admit.SetExternal(external)
 }
 
+// forget drops the concurrency window that this instance knew when it last
+// polled the backend server.
+func (g *gate) forget() {
+	if g.admit.InFlight() == 0 && g.admit.Queued() == 0 {
+		g.admit = waxadmit.NewServer(g.limits)
+		return
+	}
+	g.admit.Window().Done(waxadmit.Outcome{Overloaded: true})
+}
+
 // blocked returns the reason why the backend server takes no new work, or 0.
 func (g *gate) blocked(c condition) waxfleet.Code {
 	switch {
@@ -151,6 +175,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.admit.Window().Report(r)
+	g.reportedAt = c.now
 	g.leaving = r.Leaving() || g.server.State() == waxfleet.StateLeaving
 	g.reported, g.ownThen = r.InFlight(), g.admit.InFlight()
 	g.deadTill = 0
