--- a/waxload/waxbound/caller.go
+++ b/waxload/waxbound/caller.go
@@ -32,6 +32,8 @@
 	Server string
 	// FailureDomain, when it is set, restricts the entry.
 	FailureDomain string
+	// LeaveAfter, when it is positive, is when the caller goes away.
+	LeaveAfter waxfleet.Millis
 }
 
 // Call is an Ask and its end.
@@ -140,7 +142,11 @@
 }
 
 func (c *Callers) do(ctx context.Context, e Entry, a Ask) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	timeout := callTimeout
+	if a.LeaveAfter > 0 {
+		timeout = a.LeaveAfter.Duration()
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	body := fmt.Appendf(nil, `{"model":%q,"stream":true,"max_tokens":%d,"chat":%q,"messages":[{"role":"user","content":"question of %s"}]}`,
 		waxembed.ChatModel, a.Tokens, a.Chat, a.Chat)
--- a/waxload/waxbound/domain_test.go
+++ b/waxload/waxbound/domain_test.go
@@ -83,6 +83,7 @@
 // TestDomainOut guards invariant 3: no new work in a failure domain 3 s after it
 // was taken out, and work again after its return.
 func TestDomainOut(t *testing.T) {
+	t.Parallel()
 	for _, m := range domainMoves() {
 		t.Run(m.name, func(t *testing.T) {
 			opts := waxembed.DefaultOptions()
@@ -116,7 +117,8 @@
 func (inConfig) DomainIn(string) bool { return true }
 
 // TestDomainOutSwitchedOff shows that the run fails when routers ignore the
-// state of failure domains.
+// state of failure domains. Seen with seed 11: 52 violations, the first "engine-05:
+// new work 3.016s after it was taken out or began to leave; allowed: 3s".
 func TestDomainOutSwitchedOff(t *testing.T) {
 	is := is.New(t)
 	opts := waxembed.DefaultOptions()
--- a/waxload/waxbound/leaving_test.go
+++ b/waxload/waxbound/leaving_test.go
@@ -72,6 +72,7 @@
 // TestLeavingEngine guards invariant 7: no new work at an engine 3 s after it
 // began to leave, wherever the mark shows.
 func TestLeavingEngine(t *testing.T) {
+	t.Parallel()
 	for _, l := range leaves() {
 		t.Run(l.name, func(t *testing.T) {
 			r := newRig(t, waxembed.DefaultOptions())
@@ -92,7 +93,8 @@
 }
 
 // TestLeavingEngineSwitchedOff shows that the run fails when owners ignore the
-// engine's own report.
+// engine's own report. Seen with seed 23: 8 violations, the first "engine-01: new
+// work 3.314s after it was taken out or began to leave; allowed: 3s".
 func TestLeavingEngineSwitchedOff(t *testing.T) {
 	is := is.New(t)
 	opts := waxembed.DefaultOptions()
--- a/waxload/waxbound/rig_test.go
+++ b/waxload/waxbound/rig_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"time"
 
 	"waxwingdrift.org/waxfleet"
 	"waxwingdrift.org/waxload/waxbound"
@@ -30,9 +31,15 @@
 	quit    context.CancelFunc
 }
 
+// slots bounds the fleets that run at a time, so that scheduling delays stay
+// far below the bounds that are checked.
+var slots = make(chan struct{}, 5)
+
 func newRig(t *testing.T, opts waxembed.Options) *rig {
 	t.Helper()
 	t.Parallel()
+	slots <- struct{}{}
+	t.Cleanup(func() { <-slots })
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	f, err := waxembed.Start(ctx, opts)
@@ -146,3 +153,13 @@
 		t.Errorf("%s: %d violations in all", what, len(found))
 	}
 }
+
+// drainTimeout bounds a graceful stop in runs; it is longer than any stream.
+const drainTimeout = 30 * time.Second
+
+func (r *rig) must(err error) {
+	r.t.Helper()
+	if err != nil {
+		r.t.Fatal(err)
+	}
+}
