waxowner: send queued requests on when admission ends

A request that waited at its home owner because all places were taken was refused with deadline-would-pass, not to be tried elsewhere, when the queue was emptied because the instance stopped. Cause: serveHome took every spill of such a request for the end of its deadline. Ruled out: a full queue (40 of 64 places per engine) and the entry, which follows refusals that allow it.

The refusal now names the reason and allows another try, and the entry finds the next owner.

--- a/waxfleet/waxowner/serve.go
+++ b/waxfleet/waxowner/serve.go
@@ -80,6 +80,10 @@
 		if !spilled || err != nil {
 			return err
 		}
+		if code := o.blocked(choice.ID); choice.Reason == waxplace.ReasonFull && code != waxfleet.CodeOK {
+			// The queue was sent away before the deadline; the next owner can serve it.
+			return refuse(replies, waxfleet.NewError(code, "backend server %s takes no new work here", choice.ID), true, choice.ID)
+		}
 		if choice.Reason == waxplace.ReasonFull {
 			return refuse(replies, waxfleet.NewError(waxfleet.CodeDeadlineWouldPass, "no place came free before the deadline"), false, "")
 		}
@@ -87,6 +91,16 @@
 	}
 }
 
+// blocked returns the reason why this instance may give the backend server no
+// new work, or CodeOK.
+func (o *Owner) blocked(id string) waxfleet.Code {
+	g, ok := o.gateOf(id)
+	if !ok {
+		return waxfleet.CodeNotOwner
+	}
+	return g.confirm(o.condition(g))
+}
+
 // choose ranks the eligible backend servers of this failure domain and picks
 // one. first is the chat's first rendezvous choice.
 func (o *Owner) choose(r *request) (choice waxplace.Choice, first string) {
