--- a/waxfleet/waxowner/gate.go
+++ b/waxfleet/waxowner/gate.go
@@ -20,10 +20,16 @@
 // work of a former owner that died can run on until the server notices.
 const settleTime waxfleet.Millis = 5_000
 
+// staleReport is the age of the last load report from which on an instance that
+// begins to admit again knows nothing of the backend server: two polls and the
+// time-out of one have passed, and the server may have restarted.
+const staleReport waxfleet.Millis = 2*pollInterval + pollTimeout
+
 // gate is the admission state of one backend server at this instance.
 type gate struct {
 	id      string
 	service string
+	limits  waxfleet.Limits
 
 	mu       sync.Mutex
 	server   waxfleet.BackendServer
@@ -35,13 +41,16 @@
 	reported int
 	ownThen  int
 	suspect  bool
-	// held is set while this instance has a share; heldSince is when it got it.
-	held      bool
-	heldSince waxfleet.Millis
+	// reportedAt is when the last load report came.
+	reportedAt waxfleet.Millis
+	// admitting is set while this instance has a share; admittingSince is when it
+	// got it.
+	admitting      bool
+	admittingSince waxfleet.Millis
 }
 
 func newGate(b waxfleet.BackendServer, limits waxfleet.Limits) *gate {
-	return &gate{id: b.ID(), service: b.Service(), server: b, admit: waxadmit.NewServer(limits), waiters: map[uint64]chan waxadmit.Verdict{}}
+	return &gate{id: b.ID(), service: b.Service(), limits: limits, server: b, admit: waxadmit.NewServer(limits), waiters: map[uint64]chan waxadmit.Verdict{}}
 }
 
 // condition is what the owner knows outside the gate when it admits.
@@ -72,16 +81,29 @@
 // refresh sets the load that this instance has not admitted itself. While a
 // former owner may still run work, the server's own report counts as well.
 func (g *gate) refresh(c condition) {
-	if held := c.share != waxlease.None; held != g.held {
-		g.held, g.heldSince = held, c.now
+	if admitting := c.share != waxlease.None; admitting != g.admitting {
+		g.admitting, g.admittingSince = admitting, c.now
+		if admitting && c.now-g.reportedAt > staleReport {
+			g.forget()
+		}
 	}
 	external := c.external
-	if c.share == waxlease.Reserve || c.now-g.heldSince < settleTime {
+	if c.share == waxlease.Reserve || c.now-g.admittingSince < settleTime {
 		external = max(external, g.reported-g.ownThen)
 	}
 	g.admit.SetExternal(external)
 }
 
+// forget drops the concurrency window that this instance knew when it last
+// polled the backend server.
+func (g *gate) forget() {
+	if g.admit.InFlight() == 0 && g.admit.Queued() == 0 {
+		g.admit = waxadmit.NewServer(g.limits)
+		return
+	}
+	g.admit.Window().Done(waxadmit.Outcome{Overloaded: true})
+}
+
 // blocked returns the reason why the backend server takes no new work, or 0.
 func (g *gate) blocked(c condition) waxfleet.Code {
 	switch {
@@ -161,6 +183,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.admit.Window().Report(r)
+	g.reportedAt = c.now
 	g.leaving = r.Leaving() || g.server.State() == waxfleet.StateLeaving
 	g.reported, g.ownThen = r.InFlight(), g.admit.InFlight()
 	g.deadTill = 0
