waxentry: take other spellings of a once-path for the same path

POST /services/desk//deposits or /%64eposits did not match the once-path /deposits, so a call that may not be repeated was routed without a key and could run twice. Once-paths are now also compared with the decoded, cleaned path. The path itself goes on as the caller has encoded it: before, an encoded ? or % in it was decoded and sent as part of another request.

--- a/waxfleet/waxentry/entry.go
+++ b/waxfleet/waxentry/entry.go
@@ -11,6 +11,8 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"net/url"
+	"path"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -154,7 +156,7 @@
 }
 
 func (e *Entry) plain(c echo.Context) error {
-	req := &waxroute.Request{Method: c.Request().Method, Path: "/" + c.Param("*")}
+	req := &waxroute.Request{Method: c.Request().Method, Path: servicePath(c.Request().URL)}
 	if q := c.Request().URL.RawQuery; q != "" {
 		req.Path += "?" + q
 	}
@@ -165,7 +167,7 @@
 		}
 		req.Service = service
 		req.IdempotencyKey = c.Request().Header.Get(HeaderIdempotencyKey)
-		req.Once = service.Once(req.Path) || req.IdempotencyKey != ""
+		req.Once = service.Once(req.Path) || service.Once(plainPath(req.Path)) || req.IdempotencyKey != ""
 		req.ChatKey = req.Workspace.Name() + "/" + req.ID
 		if req.IdempotencyKey != "" {
 			req.ChatKey = req.Workspace.Name() + "/" + req.IdempotencyKey
@@ -180,6 +182,25 @@
 	})
 }
 
+// servicePath returns what follows the service in /services/{service}/{path}, as
+// the caller has encoded it.
+func servicePath(u *url.URL) string {
+	_, rest, _ := strings.Cut(strings.TrimPrefix(u.EscapedPath(), "/services/"), "/")
+	return "/" + rest
+}
+
+// plainPath returns the one form of a path that once-paths are compared with. A
+// backend server may take /%64eposits and //deposits for /deposits, and such a
+// call must not run twice either.
+func plainPath(raw string) string {
+	raw, _, _ = strings.Cut(raw, "?")
+	plain, err := url.PathUnescape(raw)
+	if err != nil {
+		plain = raw
+	}
+	return path.Clean("/" + plain)
+}
+
 // serve reads the request, lets parse fill in what depends on its kind, and
 // routes it.
 func (e *Entry) serve(c echo.Context, req *waxroute.Request, parse func(cfg waxfleet.Config) error) error {
