waxdispatch: run answers that are not streamed on a fresh connection

Cause: a non-streamed answer of an engine on a kept connection that had gone silent was only noticed after the generation time-out of 300 s, since its silence can't be told from a long generation. Ruled out: the probe (it was answered in time) and the caller's deadline (it bounds the wait for a place, not the run). Change: such calls use a fresh connection, as once-calls do. The test of late answers now uses streams, which still share kept connections; the non-streamed ones have a test that no call shares a connection.

--- a/waxfleet/waxdispatch/dispatcher_test.go
+++ b/waxfleet/waxdispatch/dispatcher_test.go
@@ -381,7 +381,27 @@
 		late := previous
 		previous = e.id
 		if e.onConn > 1 {
-			e.completion(late)
+			e.id = late
+		}
+		e.rest()
+	})
+	d := newDispatcher(waxfleet.NewClock(), Options{})
+	for range 3 {
+		s := &sink{}
+		_, err := d.Do(t.Context(), streamCall(b.server()), s)
+		is.NoErr(err)
+		is.Equal(s.String(), wantStream(0))
+	}
+	is.True(b.runs() > 3) // some answers were late
+}
+
+// Guards against an answer that is not streamed and waits for the generation
+// time-out, because its kept connection went silent or carries a late answer.
+func TestWholeAnswerHasFreshConnection(t *testing.T) {
+	is := is.New(t)
+	b := newBackend(t, func(_ int, e *engineCall) {
+		if e.onConn > 1 {
+			e.completion("late")
 			return
 		}
 		e.completion(e.id)
@@ -395,7 +415,7 @@
 		is.NoErr(err)
 		is.Equal(s.String(), `{"id": "chatcmpl-R", "x": 1}`)
 	}
-	is.True(b.runs() > 3) // some answers were late
+	is.Equal(b.runs(), 3) // each on a connection of its own
 }
 
 // Guards against a refused connection that counts as a run.
--- a/waxfleet/waxdispatch/run.go
+++ b/waxfleet/waxdispatch/run.go
@@ -127,9 +127,12 @@
 
 // transport chooses the connections of the next exchange. Once-calls, resumes
 // and repeated attempts get a fresh connection: kept ones may be closed, silent
-// or carry a late answer.
+// or carry a late answer. So do answers of engines that are not streamed: a kept
+// connection that went silent can't be told there from a long generation, and
+// would hold the call for the generation time-out of 300 s.
 func (r *run) transport() *http.Transport {
-	if r.call.Once || r.resuming() || r.attempts > 1 {
+	wholeAnswer := r.engine() && !r.call.Stream
+	if r.call.Once || wholeAnswer || r.resuming() || r.attempts > 1 {
 		return r.d.fresh
 	}
 	return r.server.transport
