waxroute: end a stream at its end marker

Cause: when the owner was lost after it passed the end marker on and before it reported the end, the entry continued the stream at another engine and sent a second end behind the first. Result: the end marker ends the request.

--- a/waxfleet/waxroute/collector.go
+++ b/waxfleet/waxroute/collector.go
@@ -50,6 +50,7 @@
 func (c *collector) body(part []byte) error {
 	c.run.keep(part)
 	c.callerErr = c.run.answer.Body(part)
+	c.run.finished = c.run.finished || (c.run.Stream && c.callerErr == nil && bytes.HasSuffix(part, doneEvent))
 	return c.callerErr
 }
 
@@ -73,6 +74,7 @@
 	eventEnd   = []byte("\n\n")
 	dataPrefix = []byte("data:")
 	streamDone = []byte("[DONE]")
+	doneEvent  = []byte("data: [DONE]\n\n")
 )
 
 // countEvents counts the data events of a part, without the end marker.
--- a/waxfleet/waxroute/router.go
+++ b/waxfleet/waxroute/router.go
@@ -69,12 +69,15 @@
 // run is the state of one request across its attempts.
 type run struct {
 	*Request
-	answer   Answer
-	start    waxfleet.Millis
-	began    bool
-	events   int64
-	partial  []byte
-	dropped  bool
+	answer  Answer
+	start   waxfleet.Millis
+	began   bool
+	events  int64
+	partial []byte
+	dropped bool
+	// finished says that the caller has the end marker of its stream. Nothing may
+	// follow it, also when the owner is lost before it reports the end.
+	finished bool
 	deaths   int
 	lastFail *waxfleet.Error
 	maybeRan bool
@@ -364,7 +367,7 @@
 	switch {
 	case c.callerErr != nil || ctx.Err() != nil:
 		return outcome{}, waxfleet.NewError(waxfleet.CodeCancelled, "the caller went away")
-	case c.ended:
+	case c.ended, u.finished:
 		return outcome{done: true}, nil
 	case c.redirect != nil:
 		reason := c.redirect.GetReason()
