waxowner: retry requests whose queue was sent away before the deadline

Cause: a request in the last possible queue was refused with deadline-would-pass, and not retried, whenever the queue gave it up: also when the backend server had died or the right to admit had ended. Change: before the deadline the refusal is overloaded and the entry tries on; a full queue is refused with queue-full and an expected wait past the deadline with deadline-would-pass, both at once as before.

--- a/waxfleet/waxowner/gate.go
+++ b/waxfleet/waxowner/gate.go
@@ -164,6 +164,12 @@
 	g.pump(c)
 }
 
+func (g *gate) queued() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admit.Queued()
+}
+
 func (g *gate) backend() waxfleet.BackendServer {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/waxfleet/waxowner/serve.go
+++ b/waxfleet/waxowner/serve.go
@@ -24,6 +24,10 @@
 	arrived  waxfleet.Millis
 	excluded map[string]bool
 	service  waxfleet.Service
+	// queueFull and tooLate tell why the last offer was refused at once: for the
+	// length of the queue, or for the expected wait in it.
+	queueFull bool
+	tooLate   bool
 }
 
 func (r *request) deadline() waxfleet.Millis {
@@ -81,12 +85,28 @@
 			return err
 		}
 		if choice.Reason == waxplace.ReasonFull {
-			return refuse(replies, waxfleet.NewError(waxfleet.CodeDeadlineWouldPass, "no place came free before the deadline"), false, "")
+			return o.refuseLast(r, choice, replies)
 		}
 		r.excluded[choice.ID] = true
 	}
 }
 
+// refuseLast refuses a request that has queued at the last possible place. Before
+// the deadline, the queue was sent away because the backend server died or the
+// right to admit ended, and another place may come free in time.
+func (o *Owner) refuseLast(r *request, choice waxplace.Choice, replies Replies) error {
+	switch {
+	case o.Clock.Now() >= r.deadline():
+		return refuse(replies, waxfleet.NewError(waxfleet.CodeDeadlineWouldPass, "no place came free before the deadline"), false, "")
+	case r.queueFull:
+		return refuse(replies, waxfleet.NewError(waxfleet.CodeQueueFull, "the queue of backend server %s is full", choice.ID), false, choice.ID)
+	case r.tooLate:
+		return refuse(replies, waxfleet.NewError(waxfleet.CodeDeadlineWouldPass, "the wait for backend server %s would pass the deadline", choice.ID), false, choice.ID)
+	default:
+		return refuse(replies, waxfleet.NewError(waxfleet.CodeOverloaded, "backend server %s sent its queue away", choice.ID), true, choice.ID)
+	}
+}
+
 // choose ranks the eligible backend servers of this failure domain and picks
 // one. first is the chat's first rendezvous choice.
 func (o *Owner) choose(r *request) (choice waxplace.Choice, first string) {
@@ -182,6 +202,9 @@
 	}
 	ticket := waxadmit.NewTicket(0, r.GetWorkspace(), r.GetShare(), int(r.GetPriority()), spillAt, r.deadline())
 	verdict, id, ch, code := g.offer(ticket, o.condition(g))
+	refused := verdict == waxadmit.Spill && code == waxfleet.CodeOverloaded
+	r.queueFull = refused && g.queued() >= o.Config.Current().Limits().QueueLength()
+	r.tooLate = refused && !r.queueFull
 	if verdict == waxadmit.Wait {
 		o.Recorder.Record(r.GetRequestId(), "queue", "backend-server="+g.id)
 		var err error
