--- a/waxfleet/waxnode/node.go
+++ b/waxfleet/waxnode/node.go
@@ -72,11 +72,16 @@
 	assembled atomic.Bool
 	draining  atomic.Bool
 	active    atomic.Int64
+	options   []Option
 }
 
+// Option changes the parts of the owner before it starts, so that tests and
+// measurements can replace a component.
+type Option func(parts *waxowner.Parts)
+
 // New starts an instance. It listens when New returns, and stops at once when
 // ctx ends; Drain stops it without cutting off a request.
-func New(ctx context.Context, settings Settings, log *slog.Logger) (*Node, error) {
+func New(ctx context.Context, settings Settings, log *slog.Logger, options ...Option) (*Node, error) {
 	if err := settings.Validate(); err != nil {
 		return nil, err
 	}
@@ -95,6 +100,7 @@
 		callerAddr: callerListener.Addr().String(),
 		log:        log.With("instance", settings.InstanceID),
 		counter:    &waxmember.ByteCounter{},
+		options:    options,
 	}
 	if err := n.assemble(ctx); err != nil {
 		_ = callerListener.Close()
@@ -151,11 +157,15 @@
 		ProgressTimeout: n.settings.ProgressTimeout, ReportDial: n.countedDial, Tracer: tracer,
 	}, n.log)
 	claims := waxclaim.New(ctx, n.store, n.clock, n.self.ID(), n.log)
-	n.owner = waxowner.New(ctx, waxowner.Parts{
+	parts := waxowner.Parts{
 		Clock: n.clock, Config: n.config, Ownership: n.keeper, Table: n.table, Dispatcher: dispatcher,
 		Claims: claims, Suspects: n.suspects, Recorder: n.recorder, Log: n.log,
 		Spread: n.spread, News: n.news, Exceptions: n.settings.Exceptions,
-	})
+	}
+	for _, change := range n.options {
+		change(&parts)
+	}
+	n.owner = waxowner.New(ctx, parts)
 	n.table.Bind(&localState{node: n})
 	n.exchanger = waxmember.NewExchanger(ctx, n.table, n.links, n.clock, n.importantPeers, n.log)
 	router := waxroute.New(waxroute.Parts{
--- a/waxload/waxembed/fleet.go
+++ b/waxload/waxembed/fleet.go
@@ -47,6 +47,8 @@
 	Limits string
 	// Tiers replaces the section price-tiers when it is not empty.
 	Tiers string
+	// RouterOptions are passed to each instance.
+	RouterOptions []waxnode.Option
 }
 
 // DefaultOptions returns 7 routers, 18 warm engines and a plain service of 4
@@ -188,7 +190,7 @@
 		InstanceID: id, FailureDomain: failureDomain, CallerAddress: loopback, PeerAddress: loopback,
 		PlatformAddress: f.platform.Address(), ProgressTimeout: f.opts.ProgressTimeout, ListInterval: 500,
 		Exceptions: waxnode.DefaultExceptions, Records: waxnode.DefaultRecords,
-	}, f.opts.Log)
+	}, f.opts.Log, f.opts.RouterOptions...)
 	if err != nil {
 		cancel()
 		return nil, err
