waxclaim: end claims whose run left no result

Cause: when a once-call was sent and its answer was lost, the claim stayed in the running state and in the list of held claims of a living instance. Repeats took it for a running request and waited, and the wait had no deadline: owners passed the context of the call on without one. Ruled out: the release (it is right not to release what was sent) and the watch of the claim (it reported each change). Change: Abandon marks such a claim, so that repeats everywhere get outcome-unknown at once, and frees it locally.

--- a/waxfleet/interfaces.go
+++ b/waxfleet/interfaces.go
@@ -119,6 +119,9 @@
 	Finish(ctx context.Context, c Claim, status int, contentType string, body []byte) error
 	// Release gives back a claim whose request was never sent.
 	Release(ctx context.Context, c Claim) error
+	// Abandon ends a claim whose request was sent and left no result. Repeats get
+	// CodeOutcomeUnknown.
+	Abandon(ctx context.Context, c Claim) error
 }
 
 // Call is one attempt of a request at a backend server.
--- a/waxfleet/waxclaim/record.go
+++ b/waxfleet/waxclaim/record.go
@@ -36,7 +36,9 @@
 	RequestDigest string          `json:"request-digest"`
 	State         state           `json:"state"`
 	Created       waxfleet.Millis `json:"created"`
-	Result        *result         `json:"result,omitempty"`
+	// Abandoned says of a running claim that no result will come.
+	Abandoned bool    `json:"abandoned,omitempty"`
+	Result    *result `json:"result,omitempty"`
 }
 
 type result struct {
--- a/waxfleet/waxclaim/store.go
+++ b/waxfleet/waxclaim/store.go
@@ -162,6 +162,28 @@
 	return nil
 }
 
+// Abandon implements waxfleet.ClaimStore. It tries until ctx ends. When that is
+// too early, only repeats at this instance learn it; others wait for their
+// deadline.
+//
+// Errors: those of Finish.
+func (s *Store) Abandon(ctx context.Context, c waxfleet.Claim) error {
+	defer s.drop(c.Token())
+	return s.retry(ctx, newPauses(0), func() (again bool, err error) {
+		rec, version, err := s.read(ctx, c.Name())
+		switch {
+		case err != nil:
+			return outage(err), err
+		case rec.Token != c.Token() || rec.State != stateRunning:
+			return false, waxfleet.NewError(waxfleet.CodeObjectConflict, "the claim does not run in this attempt")
+		case rec.Abandoned:
+			return false, nil
+		}
+		rec.Abandoned = true
+		return true, s.write(ctx, c.Name(), version, rec)
+	})
+}
+
 // Sweep deletes claims that are older than the retention and one hour, of the
 // names that mine accepts. It deletes a bounded number and returns how many.
 func (s *Store) Sweep(ctx context.Context, mine func(name string) bool) (deleted int, err error) {
@@ -316,7 +338,7 @@
 		return err
 	}
 	o, err := s.store.Put(ctx, waxfleet.ObjectKindClaim, name, value, version)
-	if err == nil && rec.State == stateRunning {
+	if err == nil && rec.State == stateRunning && !rec.Abandoned {
 		s.hold(rec.Token, heldClaim{version: o.Version(), record: rec})
 	}
 	return err
@@ -346,6 +368,9 @@
 
 // abandoned reports whether nobody runs the claim any more.
 func (s *Store) abandoned(rec record) bool {
+	if rec.Abandoned {
+		return true
+	}
 	if rec.Holder == s.instance {
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/waxfleet/waxclaim/store_test.go
+++ b/waxfleet/waxclaim/store_test.go
@@ -201,6 +201,28 @@
 	return c
 }
 
+// Guards against repeats that wait for a result that never comes, and against a
+// second run after a run without a result.
+func TestAbandonedClaimIsUnknown(t *testing.T) {
+	is := is.New(t)
+	m := newMemoryStore()
+	a, _ := newTestStore(t, m, "a")
+	b, _ := newTestStore(t, m, "b")
+	key := newKey(testNow)
+	held := must(a.Begin(t.Context(), "w", key, "digest"))
+	waiting := make(chan error, 1)
+	go func() {
+		_, err := b.Begin(t.Context(), "w", key, "digest")
+		waiting <- err
+	}()
+	is.NoErr(a.Abandon(t.Context(), held))
+	is.Equal(waxfleet.CodeOf(<-waiting), waxfleet.CodeOutcomeUnknown)
+	for _, s := range []*Store{a, b} {
+		_, err := s.Begin(t.Context(), "w", key, "digest")
+		is.Equal(waxfleet.CodeOf(err), waxfleet.CodeOutcomeUnknown)
+	}
+}
+
 // Guards against a "not run" for a request that ran at an instance that died,
 // and against an endless wait.
 func TestRunningClaimIsNeverTakenOver(t *testing.T) {
--- a/waxfleet/waxowner/serve.go
+++ b/waxfleet/waxowner/serve.go
@@ -297,7 +297,7 @@
 // runOnce claims the request, dispatches it at most once, stores the result and
 // then answers.
 func (o *Owner) runOnce(ctx context.Context, r *request, g *gate, replies Replies) error {
-	claim, err := o.Claims.Begin(ctx, r.GetWorkspace(), r.GetIdempotencyKey(), r.GetRequestDigest())
+	claim, err := o.begin(ctx, r)
 	if err != nil {
 		g.cancel(o.condition(g))
 		o.Recorder.Record(r.GetRequestId(), "claim", waxfleet.CodeOf(err).Name())
@@ -320,7 +320,9 @@
 	res, err := o.Dispatcher.Do(runCtx, o.call(r, g), sink)
 	o.finish(ctx, r, g, res, err)
 	if err != nil {
-		if !res.Sent {
+		if res.Sent {
+			o.abandon(ctx, claim)
+		} else {
 			o.release(ctx, claim)
 		}
 		return o.refuseRun(ctx, r, g, res, onceError(res, err), replies)
@@ -333,6 +335,23 @@
 	return sendResult(replies, waxfleet.NewStoredClaim(claim.Name(), sink.status, sink.contentType, sink.body), g.id)
 }
 
+// begin claims the request. A repeat waits for the result of the first call no
+// longer than its deadline.
+func (o *Owner) begin(ctx context.Context, r *request) (waxfleet.Claim, error) {
+	ctx, cancel := context.WithTimeout(ctx, (r.deadline() - o.Clock.Now()).Duration())
+	defer cancel()
+	return o.Claims.Begin(ctx, r.GetWorkspace(), r.GetIdempotencyKey(), r.GetRequestDigest())
+}
+
+// abandon tells the repeats of a request that no result will come.
+func (o *Owner) abandon(ctx context.Context, claim waxfleet.Claim) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), resultTimeout.Duration())
+	defer cancel()
+	if err := o.Claims.Abandon(ctx, claim); err != nil {
+		o.Log.WarnContext(ctx, "claim could not be marked as abandoned; repeats elsewhere wait for their deadline", "error", err)
+	}
+}
+
 // onceError reports the loss of an answer after sending as an unknown outcome.
 func onceError(res waxfleet.CallResult, err error) error {
 	if !res.Sent {
