waxnode: give claims the proof that their holder has stopped

Cause: claims carried the instance id without the incarnation and the store was made without HolderStopped, so that repeats of a request whose owner was killed waited for their deadline and got still-running for 15 minutes. Change: claims name the member, and a later incarnation or an absence of 10 s from the instance list is the proof, as for ownership. A wrong proof could only turn still-running into outcome-unknown; it lets nothing run again.

--- a/waxfleet/waxnode/node.go
+++ b/waxfleet/waxnode/node.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -73,6 +75,11 @@
 	draining  atomic.Bool
 	active    atomic.Int64
 	options   []Option
+
+	mu sync.Mutex
+	// listed has the times at which instances were last in the platform's list.
+	listed   map[string]waxfleet.Millis
+	lastList waxfleet.Millis
 }
 
 // Option changes the parts of the owner before it starts, so that tests and
@@ -101,6 +108,7 @@
 		log:        log.With("instance", settings.InstanceID),
 		counter:    &waxmember.ByteCounter{},
 		options:    options,
+		listed:     map[string]waxfleet.Millis{},
 	}
 	if err := n.assemble(ctx); err != nil {
 		_ = callerListener.Close()
@@ -156,7 +164,7 @@
 	dispatcher := waxdispatch.New(n.clock, waxdispatch.Options{
 		ProgressTimeout: n.settings.ProgressTimeout, ReportDial: n.countedDial, Tracer: tracer,
 	}, n.log)
-	claims := waxclaim.New(ctx, n.store, n.clock, n.self.ID(), n.log)
+	claims := waxclaim.New(ctx, n.store, n.clock, n.self.ID()+"@"+n.incarnation, n.log, waxclaim.HolderStopped(n.stopped))
 	parts := waxowner.Parts{
 		Clock: n.clock, Config: n.config, Ownership: n.keeper, Table: n.table, Dispatcher: dispatcher,
 		Claims: claims, Suspects: n.suspects, Recorder: n.recorder, Log: n.log,
@@ -245,6 +253,28 @@
 	}
 	n.table.SetList(instances, servers)
 	n.keeper.SetList(instances)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lastList = n.clock.Now()
+	for _, i := range instances {
+		n.listed[i.ID()] = n.lastList
+	}
+}
+
+// stopped reports proof that the process of a member has ended: a later
+// incarnation, or absence from the instance list after it was listed.
+func (n *Node) stopped(member string) bool {
+	id, incarnation, _ := strings.Cut(member, "@")
+	if id == n.self.ID() {
+		return incarnation < n.incarnation
+	}
+	if n.table.Restarted(member) {
+		return true
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	at, ok := n.listed[id]
+	return ok && n.lastList-at > waxlease.GoneFromList
 }
 
 // setSeeds makes the instances of the settings known before the first list.
