waxcheck: prove not-run refusals and at-most-once calls

Deposits go with each key to two routers at once and again after the faults, while routers are killed at the claim, the dispatch and the result.

--- a/waxload/waxcheck/call.go
+++ b/waxload/waxcheck/call.go
@@ -28,7 +28,7 @@
 	maxEvent = 1 << 20
 	// callTimeout is longer than the deadline of each tier that the runs use. A
 	// call that reaches it got neither an answer nor an error.
-	callTimeout = 35 * time.Second
+	callTimeout = 33 * time.Second
 	idPrefix    = "chatcmpl-"
 )
 
--- a/waxload/waxcheck/fault.go
+++ b/waxload/waxcheck/fault.go
@@ -22,6 +22,8 @@
 	// Spares says that each repeatable chat whose entry instance lives succeeds
 	// under this fault alone.
 	Spares bool
+	// AtOnce starts During with the first call, for faults that wait for an event.
+	AtOnce bool
 }
 
 func engineFault(name string, change func(f *waxengine.Faults)) Fault {
@@ -125,9 +127,9 @@
 	// KillAtClaim, KillAtRun and KillAtResult end the router that runs a deposit
 	// when it has claimed it, when the service has begun it, and when the service
 	// has answered.
-	KillAtClaim  = Fault{Name: "router-killed-after-claim", During: killAtClaim}
-	KillAtRun    = Fault{Name: "router-killed-after-dispatch", During: killAtService(waxservice.EventStart)}
-	KillAtResult = Fault{Name: "router-killed-before-result", During: killAtService(waxservice.EventEnd)}
+	KillAtClaim  = Fault{Name: "router-killed-after-claim", AtOnce: true, During: killAtClaim}
+	KillAtRun    = Fault{Name: "router-killed-after-dispatch", AtOnce: true, During: killAtService(waxservice.EventStart)}
+	KillAtResult = Fault{Name: "router-killed-before-result", AtOnce: true, During: killAtService(waxservice.EventEnd)}
 )
 
 const (
--- a/waxload/waxcheck/phase.go
+++ b/waxload/waxcheck/phase.go
@@ -16,8 +16,10 @@
 const (
 	// stagger is the time between the starts of calls, and faultAfter the time
 	// from the first start to the faults during the run.
-	stagger    = 4 * time.Millisecond
-	faultAfter = 60 * time.Millisecond
+	stagger = 4 * time.Millisecond
+	// depositStagger is longer, so that faults come among the deposits.
+	depositStagger = 15 * time.Millisecond
+	faultAfter     = 60 * time.Millisecond
 	// poisonSends is how often the caller of a poison request sends it.
 	poisonSends = 6
 )
@@ -97,7 +99,9 @@
 		}
 		if f.During != nil {
 			b.wg.Go(func() {
-				time.Sleep(faultAfter)
+				if !f.AtOnce {
+					time.Sleep(faultAfter)
+				}
 				f.During(w.ctx, w)
 			})
 		}
@@ -177,7 +181,7 @@
 			b.send(i, w.through(r, w.serial+k))
 		}
 		again = append(again, w.through(r, w.serial+2))
-		time.Sleep(stagger)
+		time.Sleep(depositStagger)
 	}
 	p := b.end()
 	if err := w.restore(); err != nil {
--- a/waxload/waxcheck/world.go
+++ b/waxload/waxcheck/world.go
@@ -57,7 +57,7 @@
 func NewWorld(ctx context.Context, seed uint64, engines int, limits string, options ...waxnode.Option) (*World, error) {
 	opts := waxembed.DefaultOptions()
 	opts.Engines, opts.ListLag, opts.ProgressTimeout = engines, 100, runProgressTimeout
-	opts.Engine.TokenInterval = 5
+	opts.Engine.TokenInterval, opts.ServiceDelay = 5, 40
 	opts.Tiers, opts.Limits = tiers, limits
 	opts.RouterOptions = append([]waxnode.Option{shortTimeouts}, options...)
 	opts.Workspaces = []string{"ws-01"}
--- a/waxload/waxembed/fleet.go
+++ b/waxload/waxembed/fleet.go
@@ -39,6 +39,8 @@
 	Workspaces   []string
 	// Engine is the template of all engines; its names are filled in.
 	Engine waxengine.Options
+	// ServiceDelay is the time that a call of the plain service takes.
+	ServiceDelay waxfleet.Millis
 	// ListLag is the lag of the platform's instance list.
 	ListLag         waxfleet.Millis
 	ProgressTimeout waxfleet.Millis
@@ -124,7 +126,7 @@
 		f.platform.AddBackendServer(o.ID, ChatService, o.FailureDomain, e.Address())
 	}
 	for i := range f.opts.PlainServers {
-		o := waxservice.Options{ID: fmt.Sprintf("desk-%d", i+1), FailureDomain: Domains()[i%len(Domains())], Seed: uint64(i + 1)}
+		o := waxservice.Options{ID: fmt.Sprintf("desk-%d", i+1), FailureDomain: Domains()[i%len(Domains())], Seed: uint64(i + 1), Delay: f.opts.ServiceDelay}
 		s, err := waxservice.New(ctx, o)
 		if err != nil {
 			return err
