--- a/waxfleet/waxmember/bench_test.go
+++ b/waxfleet/waxmember/bench_test.go
@@ -185,7 +185,7 @@
 				y, _ := newSide(b, fixture{4, 51, 7}, 1)
 				address := serveExchange(b, y, gzip.server...)
 				counter := &ByteCounter{}
-				client := waxwireconnect.NewPeerClient(&http.Client{Transport: newTransport(counter)}, "http://"+address, gzip.request...)
+				client := waxwireconnect.NewPeerClient(&http.Client{Transport: newTransport((&net.Dialer{}).DialContext, counter)}, "http://"+address, gzip.request...)
 				exchange := func() {
 					reply, err := client.Exchange(b.Context(), connect.NewRequest(x.Build(y.Self().ID())))
 					if err != nil {
--- a/waxfleet/waxmember/loads.go
+++ b/waxfleet/waxmember/loads.go
@@ -168,7 +168,7 @@
 func (b *Broadcaster) targets() []waxfleet.Instance {
 	var all, own []waxfleet.Instance
 	for _, link := range b.table.Links() {
-		if !link.Healthy() {
+		if !link.Healthy() || b.table.peerLeaving(link.Peer().ID()) {
 			continue
 		}
 		all = append(all, link.Peer())
@@ -238,10 +238,11 @@
 	}
 }
 
-// Receive takes the stream of one peer.
+// Receive takes the stream of one peer until it ends, or until this instance is
+// leaving: an open stream would hold up its graceful shutdown.
 func (t *Table) Receive(stream *connect.ClientStream[waxwire.OwnedLoads]) error {
 	instance, incarnation := "", ""
-	for stream.Receive() {
+	for !t.isLeaving() && stream.Receive() {
 		m := stream.Msg()
 		if m.GetInstance() != "" {
 			instance, incarnation = m.GetInstance(), m.GetIncarnation()
@@ -250,3 +251,16 @@
 	}
 	return stream.Err()
 }
+
+func (t *Table) isLeaving() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.leaving
+}
+
+func (t *Table) peerLeaving(instance string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, ok := t.peers[instance]
+	return ok && p.leaving
+}
--- a/waxfleet/waxnode/node.go
+++ b/waxfleet/waxnode/node.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -79,15 +80,22 @@
 	assembled atomic.Bool
 	draining  atomic.Bool
 	active    atomic.Int64
+	options   []Option
 
 	listMu sync.Mutex
-	// listed is when the newest instance list in use was asked for.
-	listed waxfleet.Millis
+	// listed is when the newest instance list in use was asked for, and lastSeen
+	// when each instance was last in it.
+	listed   waxfleet.Millis
+	lastSeen map[string]waxfleet.Millis
 }
 
+// Option changes the parts of the owner before it starts, so that tests and
+// measurements can replace a component.
+type Option func(parts *waxowner.Parts)
+
 // New starts an instance. It listens when New returns, and stops at once when
 // ctx ends; Drain stops it without cutting off a request.
-func New(ctx context.Context, settings Settings, log *slog.Logger) (*Node, error) {
+func New(ctx context.Context, settings Settings, log *slog.Logger, options ...Option) (*Node, error) {
 	if err := settings.Validate(); err != nil {
 		return nil, err
 	}
@@ -106,6 +114,8 @@
 		callerAddr: callerListener.Addr().String(),
 		log:        log.With("instance", settings.InstanceID),
 		counter:    &waxmember.ByteCounter{},
+		options:    options,
+		lastSeen:   map[string]waxfleet.Millis{},
 	}
 	if err := n.assemble(ctx); err != nil {
 		_ = callerListener.Close()
@@ -166,13 +176,16 @@
 	dispatcher := n.settings.Hooks.dispatcher(waxdispatch.New(n.clock, waxdispatch.Options{
 		ProgressTimeout: n.settings.ProgressTimeout, ReportDial: n.countedDial, Tracer: tracer,
 	}, n.log))
-	claims := waxclaim.New(ctx, n.store, n.clock, waxlease.NewMember(n.self.ID(), n.incarnation).String(), n.log,
-		waxclaim.HolderStopped(n.table.Restarted))
-	n.owner = waxowner.New(ctx, waxowner.Parts{
+	claims := waxclaim.New(ctx, n.store, n.clock, waxlease.NewMember(n.self.ID(), n.incarnation).String(), n.log, waxclaim.HolderStopped(n.stopped))
+	parts := waxowner.Parts{
 		Clock: n.clock, Config: config, Ownership: n.keeper, Table: n.table, Dispatcher: dispatcher,
 		Claims: claims, Suspects: n.suspects, Recorder: n.recorder, Log: n.log,
 		Spread: n.spread, News: n.news, Exceptions: n.settings.Exceptions,
-	})
+	}
+	for _, change := range n.options {
+		change(&parts)
+	}
+	n.owner = waxowner.New(ctx, parts)
 	n.table.Bind(&localState{node: n})
 	waxmember.NewBroadcaster(ctx, n.table, n.links, n.clock, n.owner.Loads, n.log)
 	n.exchanger = waxmember.NewExchanger(ctx, n.table, n.links, n.clock, n.importantPeers, n.log)
@@ -275,6 +288,9 @@
 	n.listed = asked
 	n.table.SetList(instances, servers)
 	n.keeper.SetList(instances)
+	for _, i := range instances {
+		n.lastSeen[i.ID()] = asked
+	}
 	return true
 }
 
@@ -301,6 +317,22 @@
 	return n.list(ctx, relay)
 }
 
+// stopped reports proof that the process of a member has ended: a later
+// incarnation, or absence from the instance list after it was listed.
+func (n *Node) stopped(member string) bool {
+	id, incarnation, _ := strings.Cut(member, "@")
+	if id == n.self.ID() {
+		return incarnation < n.incarnation
+	}
+	if n.table.Restarted(member) {
+		return true
+	}
+	n.listMu.Lock()
+	defer n.listMu.Unlock()
+	at, ok := n.lastSeen[id]
+	return ok && n.listed-at > waxlease.GoneFromList
+}
+
 // setSeeds makes the instances of the settings known before the first list.
 func (n *Node) setSeeds() {
 	var seeds []waxfleet.Instance
--- a/waxfleet/waxowner/serve.go
+++ b/waxfleet/waxowner/serve.go
@@ -28,6 +28,10 @@
 	arrived  waxfleet.Millis
 	excluded map[string]bool
 	service  waxfleet.Service
+	// queueFull and tooLate tell why the last offer was refused at once: for the
+	// length of the queue, or for the expected wait in it.
+	queueFull bool
+	tooLate   bool
 }
 
 func (r *request) deadline() waxfleet.Millis {
@@ -89,7 +93,7 @@
 			return refuse(replies, waxfleet.NewError(code, "backend server %s takes no new work here", choice.ID), true, choice.ID)
 		}
 		if choice.Reason == waxplace.ReasonFull {
-			return refuse(replies, waxfleet.NewError(waxfleet.CodeDeadlineWouldPass, "no place came free before the deadline"), false, "")
+			return o.refuseLast(r, choice, replies)
 		}
 		r.excluded[choice.ID] = true
 	}
@@ -105,6 +109,22 @@
 	return g.confirm(o.condition(g))
 }
 
+// refuseLast refuses a request that has queued at the last possible place. Before
+// the deadline, the queue was sent away because the backend server died or the
+// right to admit ended, and another place may come free in time.
+func (o *Owner) refuseLast(r *request, choice waxplace.Choice, replies Replies) error {
+	switch {
+	case o.Clock.Now() >= r.deadline():
+		return refuse(replies, waxfleet.NewError(waxfleet.CodeDeadlineWouldPass, "no place came free before the deadline"), false, "")
+	case r.queueFull:
+		return refuse(replies, waxfleet.NewError(waxfleet.CodeQueueFull, "the queue of backend server %s is full", choice.ID), false, choice.ID)
+	case r.tooLate:
+		return refuse(replies, waxfleet.NewError(waxfleet.CodeDeadlineWouldPass, "the wait for backend server %s would pass the deadline", choice.ID), false, choice.ID)
+	default:
+		return refuse(replies, waxfleet.NewError(waxfleet.CodeOverloaded, "backend server %s sent its queue away", choice.ID), true, choice.ID)
+	}
+}
+
 // choose ranks the eligible backend servers of this failure domain and picks
 // one. first is the chat's first rendezvous choice.
 func (o *Owner) choose(r *request) (choice waxplace.Choice, first string) {
@@ -200,6 +220,9 @@
 	}
 	ticket := waxadmit.NewTicket(0, r.GetWorkspace(), r.GetShare(), int(r.GetPriority()), spillAt, r.deadline())
 	verdict, id, ch, code := g.offer(ticket, o.condition(g))
+	refused := verdict == waxadmit.Spill && code == waxfleet.CodeOverloaded
+	r.queueFull = refused && g.queued() >= o.Config.Current().Limits().QueueLength()
+	r.tooLate = refused && !r.queueFull
 	if verdict == waxadmit.Wait {
 		o.Recorder.Record(r.GetRequestId(), "queue", "backend-server="+g.id)
 		var err error
@@ -310,7 +333,7 @@
 // runOnce claims the request, dispatches it at most once, stores the result and
 // then answers.
 func (o *Owner) runOnce(ctx context.Context, r *request, g *gate, replies Replies) error {
-	claim, err := o.Claims.Begin(ctx, r.GetWorkspace(), r.GetIdempotencyKey(), r.GetRequestDigest())
+	claim, err := o.begin(ctx, r)
 	if err != nil {
 		g.cancel(o.condition(g))
 		o.Recorder.Record(r.GetRequestId(), "claim", waxfleet.CodeOf(err).Name())
@@ -333,7 +356,9 @@
 	res, err := o.Dispatcher.Do(runCtx, o.call(r, g), sink)
 	o.finish(ctx, r, g, res, err)
 	if err != nil {
-		if !res.Sent {
+		if res.Sent {
+			o.abandon(ctx, claim)
+		} else {
 			o.release(ctx, claim)
 		}
 		return o.refuseRun(ctx, r, g, res, onceError(res, err), replies)
@@ -346,6 +371,23 @@
 	return sendResult(replies, waxfleet.NewStoredClaim(claim.Name(), sink.status, sink.contentType, sink.body), g.id)
 }
 
+// begin claims the request. A repeat waits for the result of the first call no
+// longer than its deadline.
+func (o *Owner) begin(ctx context.Context, r *request) (waxfleet.Claim, error) {
+	ctx, cancel := context.WithTimeout(ctx, (r.deadline() - o.Clock.Now()).Duration())
+	defer cancel()
+	return o.Claims.Begin(ctx, r.GetWorkspace(), r.GetIdempotencyKey(), r.GetRequestDigest())
+}
+
+// abandon tells the repeats of a request that no result will come.
+func (o *Owner) abandon(ctx context.Context, claim waxfleet.Claim) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), resultTimeout.Duration())
+	defer cancel()
+	if err := o.Claims.Abandon(ctx, claim); err != nil {
+		o.Log.WarnContext(ctx, "claim could not be marked as abandoned; repeats elsewhere wait for their deadline", "error", err)
+	}
+}
+
 // onceError reports the loss of an answer after sending as an unknown outcome.
 func onceError(res waxfleet.CallResult, err error) error {
 	if !res.Sent {
--- a/waxload/waxembed/fleet.go
+++ b/waxload/waxembed/fleet.go
@@ -39,6 +39,8 @@
 	Workspaces   []string
 	// Engine is the template of all engines; its names are filled in.
 	Engine waxengine.Options
+	// ServiceDelay is the time that a call of the plain service takes.
+	ServiceDelay waxfleet.Millis
 	// ListLag is the lag of the platform's instance list.
 	ListLag         waxfleet.Millis
 	ProgressTimeout waxfleet.Millis
@@ -52,6 +54,8 @@
 	SeedPeers bool
 	// Hooks returns the hooks of a router; nil is none.
 	Hooks func(id, failureDomain string) waxnode.Hooks
+	// RouterOptions are passed to each instance.
+	RouterOptions []waxnode.Option
 }
 
 // DefaultOptions returns 7 routers, 18 warm engines and a plain service of 4
@@ -127,7 +131,7 @@
 		f.platform.AddBackendServer(o.ID, ChatService, o.FailureDomain, e.Address())
 	}
 	for i := range f.opts.PlainServers {
-		o := waxservice.Options{ID: fmt.Sprintf("desk-%d", i+1), FailureDomain: f.domainOf(i), Seed: uint64(i + 1)}
+		o := waxservice.Options{ID: fmt.Sprintf("desk-%d", i+1), FailureDomain: f.domainOf(i), Seed: uint64(i + 1), Delay: f.opts.ServiceDelay}
 		s, err := waxservice.New(ctx, o)
 		if err != nil {
 			return err
@@ -206,7 +210,7 @@
 	if f.opts.Hooks != nil {
 		settings.Hooks = f.opts.Hooks(id, failureDomain)
 	}
-	node, err := waxnode.New(ctx, settings, f.opts.Log)
+	node, err := waxnode.New(ctx, settings, f.opts.Log, f.opts.RouterOptions...)
 	if err != nil {
 		cancel()
 		return nil, err
