tests: follow the new default limits

A floor of 2 needs a load factor of at least 1.55 now, so that the tight limits of the not-run check use 1.6 with the same floor.

--- a/waxload/waxcheck/notrun_test.go
+++ b/waxload/waxcheck/notrun_test.go
@@ -11,7 +11,7 @@
 )
 
 // tightLimits make queues short, so that a burst fills them.
-const tightLimits = `{"load-floor": 2, "queue-length": 1}`
+const tightLimits = `{"load-factor": 1.6, "load-floor": 2, "queue-length": 1}`
 
 var notRunFaults = []Fault{
 	EngineRefuses, EngineKilled, RouterKilled, PlatformOutage, ShortDeadlines, DomainOut, PeersCut,
