waxentry: number unserved paths and honour keys of chat calls

Paths that are not served got a body without a result code; they get unknown-path (1014) now. Codes that nothing used are gone (unknown-workspace, request-id-conflict, stopping).

--- a/waxfleet/code.go
+++ b/waxfleet/code.go
@@ -29,8 +29,7 @@
 	CodeKeyReused         Code = 1011
 	CodeNotAllowed        Code = 1012
 	CodeKeyInFuture       Code = 1013
-	CodeUnknownWorkspace  Code = 1014
-	CodeRequestIDConflict Code = 1015
+	CodeUnknownPath       Code = 1014
 
 	CodeOverloaded        Code = 2001
 	CodeDeadlineWouldPass Code = 2002
@@ -39,7 +38,6 @@
 	CodeNotOwner          Code = 2005
 	CodeClaimsUnavailable Code = 2006
 	CodeRequestBanned     Code = 2007
-	CodeStopping          Code = 2008
 	CodeQueueFull         Code = 2009
 	CodePeerUnreachable   Code = 2010
 	CodeBackendLeaving    Code = 2011
@@ -94,8 +92,7 @@
 	CodeKeyReused:            {"key-reused", http.StatusUnprocessableEntity, true},
 	CodeNotAllowed:           {"not-allowed", http.StatusForbidden, true},
 	CodeKeyInFuture:          {"key-in-future", http.StatusBadRequest, true},
-	CodeUnknownWorkspace:     {"unknown-workspace", http.StatusNotFound, true},
-	CodeRequestIDConflict:    {"request-id-conflict", http.StatusConflict, true},
+	CodeUnknownPath:          {"unknown-path", http.StatusNotFound, true},
 	CodeOverloaded:           {"overloaded", http.StatusServiceUnavailable, true},
 	CodeDeadlineWouldPass:    {"deadline-would-pass", http.StatusServiceUnavailable, true},
 	CodeDomainOut:            {"domain-out", http.StatusServiceUnavailable, true},
@@ -103,7 +100,6 @@
 	CodeNotOwner:             {"not-owner", http.StatusServiceUnavailable, true},
 	CodeClaimsUnavailable:    {"claims-unavailable", http.StatusServiceUnavailable, true},
 	CodeRequestBanned:        {"request-banned", http.StatusUnprocessableEntity, false},
-	CodeStopping:             {"stopping", http.StatusServiceUnavailable, true},
 	CodeQueueFull:            {"queue-full", http.StatusServiceUnavailable, true},
 	CodePeerUnreachable:      {"peer-unreachable", http.StatusBadGateway, true},
 	CodeBackendLeaving:       {"backend-leaving", http.StatusServiceUnavailable, true},
--- a/waxfleet/waxentry/entry.go
+++ b/waxfleet/waxentry/entry.go
@@ -76,6 +76,7 @@
 func New(parts Parts) *Entry {
 	e := &Entry{Parts: parts, echo: echo.New()}
 	e.echo.HideBanner = true
+	e.echo.HTTPErrorHandler = unservedPath
 	e.echo.POST(chatPath, e.chat)
 	e.echo.Any("/services/:service/*", e.plain)
 	e.echo.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
@@ -87,6 +88,17 @@
 // ServeHTTP implements http.Handler.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.echo.ServeHTTP(w, r) }
 
+// unservedPath answers paths and methods that are not served.
+func unservedPath(_ error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	e := waxfleet.NewError(waxfleet.CodeUnknownPath, "%s %s is not served", c.Request().Method, c.Request().URL.Path)
+	id := requestID(c.Request())
+	c.Response().Header().Set(HeaderRequestID, id)
+	_ = c.JSON(e.Code().Status(), errorBody(e, id))
+}
+
 func (e *Entry) readyz(c echo.Context) error {
 	if !e.Ready() {
 		return c.String(http.StatusServiceUnavailable, "not ready\n")
@@ -138,10 +150,20 @@
 			chat = leadingDigest(body.Messages)
 		}
 		req.ChatKey = req.Workspace.Name() + "/" + chat
-		return nil
+		return e.takeKey(c, req)
 	})
 }
 
+// takeKey makes the request run at most once if it has an idempotency key.
+func (e *Entry) takeKey(c echo.Context, req *waxroute.Request) error {
+	req.IdempotencyKey = c.Request().Header.Get(HeaderIdempotencyKey)
+	if req.IdempotencyKey == "" {
+		return nil
+	}
+	req.Once = true
+	return waxclaim.CheckKey(req.IdempotencyKey, e.Clock.Wall())
+}
+
 // leadingDigest identifies a chat without an id by its leading messages, up to
 // and including the first one of the user. They stay the same over all turns.
 func leadingDigest(messages []chatMessage) string {
@@ -166,19 +188,16 @@
 			return waxfleet.NewError(waxfleet.CodeUnknownService, "service %q is no configured plain service", c.Param("service"))
 		}
 		req.Service = service
-		req.IdempotencyKey = c.Request().Header.Get(HeaderIdempotencyKey)
-		req.Once = service.Once(req.Path) || service.Once(plainPath(req.Path)) || req.IdempotencyKey != ""
 		req.ChatKey = req.Workspace.Name() + "/" + req.ID
-		if req.IdempotencyKey != "" {
+		err := e.takeKey(c, req)
+		if req.Once {
 			req.ChatKey = req.Workspace.Name() + "/" + req.IdempotencyKey
+			return err
 		}
-		if !req.Once {
-			return nil
-		}
-		if req.IdempotencyKey == "" {
+		if service.Once(req.Path) || service.Once(plainPath(req.Path)) {
 			return waxfleet.NewError(waxfleet.CodeKeyRequired, "calls of %s%s may not be repeated and need the header %s", service.Name(), req.Path, HeaderIdempotencyKey)
 		}
-		return waxclaim.CheckKey(req.IdempotencyKey, e.Clock.Wall())
+		return nil
 	})
 }
 
