--- a/waxrouter/fleet_test.go
+++ b/waxrouter/fleet_test.go
@@ -241,32 +241,32 @@
 
 func (f *fleet) call(router, id, chat string, tokens int) *chatCall {
 	f.t.Helper()
-	c, err := startCall(f.address[router], id, chat, tokens)
+	req, body, err := chatRequest(f.address[router], id, chat, tokens)
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	f.t.Cleanup(func() { _ = c.resp.Body.Close() })
-	f.trace = c.resp.Header.Get("X-Wax-Trace-Id")
-	return c
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = resp.Body.Close() })
+	f.trace = resp.Header.Get("X-Wax-Trace-Id")
+	return &chatCall{resp: resp, body: body, text: bufio.NewReader(resp.Body)}
 }
 
-// startCall sends a streamed chat call and waits for the head of the answer.
-func startCall(address, id, chat string, tokens int) (*chatCall, error) {
-	body := fmt.Sprintf(`{"model": %q, "stream": true, "chat": %q, "max_tokens": %d, "messages": [{"role": "user", "content": "Helo %s"}]}`,
+// chatRequest returns a streamed chat call and its body.
+func chatRequest(address, id, chat string, tokens int) (req *http.Request, body string, err error) {
+	body = fmt.Sprintf(`{"model": %q, "stream": true, "chat": %q, "max_tokens": %d, "messages": [{"role": "user", "content": "Helo %s"}]}`,
 		testModel, chat, tokens, chat)
-	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/chat/completions", strings.NewReader(body))
+	req, err = http.NewRequest(http.MethodPost, "http://"+address+"/v1/chat/completions", strings.NewReader(body))
 	if err != nil {
-		return nil, err
+		return nil, "", err
 	}
 	req.Header.Set("Authorization", "Bearer "+testKey)
 	if id != "" {
 		req.Header.Set("X-Request-Id", id)
 	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return nil, err
-	}
-	return &chatCall{resp: resp, body: body, text: bufio.NewReader(resp.Body)}, nil
+	return req, body, nil
 }
 
 // finish reads the rest of the stream and compares the whole with the answer that
--- a/waxrouter/freeze_test.go
+++ b/waxrouter/freeze_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -78,12 +79,16 @@
 }
 
 func oneCall(address, chat string) string {
-	c, err := startCall(address, "", chat, 120)
+	req, body, err := chatRequest(address, "", chat, 120)
 	if err != nil {
 		return err.Error()
 	}
-	defer func() { _ = c.resp.Body.Close() }()
-	result := c.finish("")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	result := (&chatCall{resp: resp, body: body, text: bufio.NewReader(resp.Body)}).finish("")
 	if strings.HasSuffix(result, "whole") {
 		return "whole"
 	}
