waxowner: send queued requests on when admission ends

A request that waited at its home owner because all places were taken was refused with deadline-would-pass, not to be tried elsewhere, when the queue was emptied because the instance stopped. Cause: serveHome took every spill of such a request for the end of its deadline. Ruled out: a full queue (about 25 of 64 places per engine) and the stop itself, which answers right (the losses come at the times of the three stops: 1.0, 1.2 and 1.4 s).

Such a request is now refused with not-owner and may be tried elsewhere, and the entry finds the next owner.

--- a/waxfleet/waxowner/serve.go
+++ b/waxfleet/waxowner/serve.go
@@ -24,6 +24,9 @@
 	arrived  waxfleet.Millis
 	excluded map[string]bool
 	service  waxfleet.Service
+	// sentAway says that the last try at a backend server failed because admission
+	// there ended, before the wait was over.
+	sentAway bool
 }
 
 func (r *request) deadline() waxfleet.Millis {
@@ -80,6 +83,9 @@
 		if !spilled || err != nil {
 			return err
 		}
+		if choice.Reason == waxplace.ReasonFull && r.sentAway {
+			return refuse(replies, waxfleet.NewError(waxfleet.CodeNotOwner, "admission to backend server %s ended while the request waited", choice.ID), true, choice.ID)
+		}
 		if choice.Reason == waxplace.ReasonFull {
 			return refuse(replies, waxfleet.NewError(waxfleet.CodeDeadlineWouldPass, "no place came free before the deadline"), false, "")
 		}
@@ -182,7 +188,8 @@
 	}
 	ticket := waxadmit.NewTicket(0, r.GetWorkspace(), r.GetShare(), int(r.GetPriority()), spillAt, r.deadline())
 	verdict, id, ch, code := g.offer(ticket, o.condition(g))
-	if verdict == waxadmit.Wait {
+	queued := verdict == waxadmit.Wait
+	if queued {
 		o.Recorder.Record(r.GetRequestId(), "queue", "backend-server="+g.id)
 		var err error
 		verdict, err = g.wait(ctx, id, ch)
@@ -194,6 +201,8 @@
 		}
 	}
 	waited := o.Clock.Now() - now
+	blocked := code != waxfleet.CodeOK && code != waxfleet.CodeOverloaded
+	r.sentAway = verdict == waxadmit.Spill && (blocked || (queued && now+waited < spillAt))
 	o.Recorder.Record(r.GetRequestId(), verdict.String(), fmt.Sprintf("backend-server=%s waited-ms=%d code=%s", g.id, waited, code.Name()))
 	return verdict == waxadmit.Admit, nil
 }
@@ -210,6 +219,7 @@
 	}
 	if code := g.confirm(o.condition(g)); code != waxfleet.CodeOK {
 		g.cancel(o.condition(g))
+		r.sentAway = true
 		o.Recorder.Record(r.GetRequestId(), "not-sent", code.Name())
 		return true, nil
 	}
