waxnode: wait for answers of peers' requests and for load balancers on stop

Drain returned as soon as no request held a place at a backend server. The result of a once-call was still to be stored and passed on to the entry then: three callers got outcome-unknown (TestGracefulStopOnce, platform slow by 400 ms, stop of router-1). Ruled out: the claim store, which had the results. Drain now counts the requests that it serves for peers, and gives the last answers 500 ms to leave before the listeners close.

It now goes on taking calls for at least 1.5 s, since readiness is commonly asked for once a second.

--- a/waxfleet/waxnode/node.go
+++ b/waxfleet/waxnode/node.go
@@ -38,6 +38,12 @@
 	// drainCheck is the time between looks at the running work of a stopping
 	// instance.
 	drainCheck waxfleet.Millis = 50
+	// drainNotice is the least time that a stopping instance goes on taking calls,
+	// so that load balancers that ask for readiness each second send none to a
+	// closed port.
+	drainNotice waxfleet.Millis = 1_500
+	// flushTime bounds the closing of connections after the last call.
+	flushTime = 500 * time.Millisecond
 	// relayLimit bounds the relays that an object call is tried through.
 	relayLimit = 2
 	// listCheck is how late the instance list may be before it is read through a
@@ -300,9 +306,11 @@
 }
 
 // Drain stops the instance without cutting off a request: it stops admitting,
-// tells the others, and waits until all work has ended or ctx ends.
+// tells the others, and waits until all work has ended or ctx ends. Callers are
+// served meanwhile, through other owners.
 func (n *Node) Drain(ctx context.Context) error {
 	n.draining.Store(true)
+	notified := n.clock.Now() + drainNotice
 	n.table.SetLeaving()
 	n.callers.SetKeepAlivesEnabled(false)
 	n.owner.Stop()
@@ -310,15 +318,26 @@
 	n.exchanger.All(ctx)
 	n.keeper.SetLeaving(ctx)
 	n.log.InfoContext(ctx, "draining", "in-flight", n.owner.InFlight(), "calls", n.active.Load())
-	for n.active.Load() > 0 || n.owner.InFlight() > 0 {
+	for n.active.Load() > 0 || n.owner.InFlight() > 0 || n.clock.Now() < notified {
 		if err := n.clock.Sleep(ctx, drainCheck); err != nil {
 			return err
 		}
 	}
+	n.shutdown(ctx)
 	n.log.InfoContext(ctx, "drained")
 	return nil
 }
 
+// shutdown closes the listeners and gives what the last calls wrote time to
+// leave: the process may end right after. Connections without a call, which
+// net/http waits for up to 5 s, need no more than that.
+func (n *Node) shutdown(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, flushTime)
+	defer cancel()
+	_ = n.callers.Shutdown(ctx)
+	_ = n.peers.Shutdown(ctx)
+}
+
 // count counts running calls, so that Drain can wait for them.
 func (n *Node) count(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/waxfleet/waxnode/peerservice.go
+++ b/waxfleet/waxnode/peerservice.go
@@ -15,8 +15,11 @@
 	node *Node
 }
 
-// Serve runs one request as admitting instance.
+// Serve runs one request as admitting instance. Drain waits for its end: after
+// the backend server is done, the result is still stored and passed on.
 func (p *peerService) Serve(ctx context.Context, req *connect.Request[waxwire.ServeRequest], stream *connect.ServerStream[waxwire.ServeReply]) error {
+	p.node.active.Add(1)
+	defer p.node.active.Add(-1)
 	return p.node.owner.Serve(ctx, req.Msg, stream)
 }
 
