waxroute: pass by failure domains and owners that are silent

Callers of a failure domain that was cut off from the others and the platform waited for the owners of their chats in other domains: first for the end of the open connection (5 s), then 2 s per connection attempt, owner by owner, until the deadline. Cause: the order of domains did not ask whether a domain was heard from, and each request tried each owner anew. Ruled out: the owners of the cut-off domain, which admitted all that reached them.

Silent domains now come last, the last one that is heard may queue the request until its deadline, at most two lost owners are tried per domain, and a lost owner is avoided for 2 s by all requests of the entry.

--- a/waxfleet/waxmember/table.go
+++ b/waxfleet/waxmember/table.go
@@ -87,6 +87,7 @@
 	clock       *waxfleet.Clock
 	self        waxfleet.Instance
 	incarnation string
+	started     waxfleet.Millis
 	local       Local
 
 	mu          sync.Mutex
@@ -107,7 +108,7 @@
 // NewTable returns a table that knows only this instance. Bind comes before use.
 func NewTable(clock *waxfleet.Clock, self waxfleet.Instance, incarnation string) *Table {
 	return &Table{
-		clock: clock, self: self, incarnation: incarnation,
+		clock: clock, self: self, incarnation: incarnation, started: clock.Now(),
 		sentAt: map[uint64]waxfleet.Millis{}, own: map[string]ownState{},
 		peers: map[string]*peerState{}, servers: map[string]waxfleet.BackendServer{},
 		totals: map[totalKey]domainTotal{}, assignments: map[string]assignmentState{},
@@ -385,6 +386,23 @@
 	return totals
 }
 
+// Silent reports whether nothing has been heard of another failure domain for
+// as long as totals are used.
+func (t *Table) Silent(failureDomain string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if failureDomain == t.self.FailureDomain() {
+		return false
+	}
+	heard := t.started
+	for key, d := range t.totals {
+		if key.failureDomain == failureDomain {
+			heard = max(heard, d.at)
+		}
+	}
+	return t.clock.Now()-heard > FreshFor*2
+}
+
 // ownTotal sums the counts of this failure domain. A server without an owner's
 // report counts as an engine with no load, which can only lower the mean.
 func (t *Table) ownTotal(service string) waxfleet.ServiceTotal {
--- a/waxfleet/waxroute/router.go
+++ b/waxfleet/waxroute/router.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"slices"
+	"sync"
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
@@ -25,6 +26,13 @@
 	// maxRedirects bounds the redirects and refusals that one pass over a failure
 	// domain follows.
 	maxRedirects = 4
+	// maxLost is the number of owners of a failure domain that one pass finds
+	// unreachable before it leaves the domain: each can cost the time-out of a
+	// connection attempt (2 s) out of the caller's deadline (10 s at the least).
+	maxLost = 2
+	// lostPause is how long an owner is avoided after its connection was lost: the
+	// time-out of a connection attempt.
+	lostPause waxfleet.Millis = 2_000
 	// maxDeaths is the number of backend servers that one request may end.
 	maxDeaths = 2
 	// partialLimit bounds the text that is kept to continue a stream elsewhere.
@@ -59,11 +67,15 @@
 type Router struct {
 	Parts
 	domains *waxplace.Exceptions
+
+	mu sync.Mutex
+	// lostUntil is the time until which a lost owner is avoided, by instance.
+	lostUntil map[string]waxfleet.Millis
 }
 
 // New returns a router.
 func New(parts Parts) *Router {
-	return &Router{Parts: parts, domains: waxplace.NewExceptions(parts.DomainExceptions)}
+	return &Router{Parts: parts, domains: waxplace.NewExceptions(parts.DomainExceptions), lostUntil: map[string]waxfleet.Millis{}}
 }
 
 // run is the state of one request across its attempts.
@@ -119,23 +131,30 @@
 }
 
 // pass tries the failure domains in order. done is true when the answer is
-// complete.
+// complete. The order is taken anew after each one: others may have fallen
+// silent while an owner did not answer. The last one that is not silent is the
+// final one, where the request may wait until its deadline.
 func (r *Router) pass(ctx context.Context, u *run) (done bool, err error) {
-	domains := r.domainOrder(u)
-	for i, domain := range domains {
-		final := i == len(domains)-1
+	var tried []string
+	for {
+		left := slices.DeleteFunc(r.domainOrder(u), func(d string) bool { return slices.Contains(tried, d) })
+		if len(left) == 0 {
+			return false, nil
+		}
+		domain := left[0]
+		tried = append(tried, domain)
+		final := len(left) == 1 || r.Table.Silent(left[1])
 		done, err := r.tryDomain(ctx, u, domain, final)
 		if done || err != nil {
 			return done, err
 		}
 		r.Recorder.Record(u.ID, "leave-domain", fmt.Sprintf("failure-domain=%s reason=%s", domain, u.failure().Code().Name()))
 	}
-	return false, nil
 }
 
 // domainOrder returns the failure domains in the order in which they are tried:
 // the one that holds the chat, then rendezvous order, those with free places
-// first.
+// first and silent ones last.
 func (r *Router) domainOrder(u *run) []string {
 	cfg := r.Config.Current()
 	free := map[string]int{}
@@ -157,6 +176,8 @@
 	rank := func(domain string) int {
 		n, known := free[domain]
 		switch {
+		case r.Table.Silent(domain):
+			return 3
 		case domain == holder:
 			return 0
 		case known && n > 0:
@@ -201,8 +222,13 @@
 // tryDomain asks the home owner of the failure domain and follows its redirects.
 func (r *Router) tryDomain(ctx context.Context, u *run, domain string, final bool) (done bool, err error) {
 	s := &search{domain: domain, homes: r.homeOrder(u, domain)}
+	lost := 0
 	for hop := 0; hop <= maxRedirects && len(s.homes) > 0; hop++ {
 		owner, ok := r.ownerOf(domain, s.server())
+		if ok && r.avoided(owner.ID()) {
+			s.exclude()
+			continue
+		}
 		if !ok {
 			u.lastFail = waxfleet.NewError(waxfleet.CodePeerUnreachable, "no instance of %s owns backend server %s", domain, s.server())
 			s.exclude()
@@ -217,7 +243,12 @@
 			return true, nil
 		case out.redirect.ID != "":
 			s.target = out.redirect
-		case out.unreachable, s.target.ID != "" && !out.died:
+		case out.unreachable:
+			if lost++; lost == maxLost {
+				return false, nil
+			}
+			s.exclude()
+		case s.target.ID != "" && !out.died:
 			s.exclude()
 		default:
 			return false, nil // the home owner refused, or a backend server died
@@ -299,6 +330,20 @@
 	return r.Table.Peer(id)
 }
 
+// avoid keeps requests away from an owner whose connection was lost. Without it,
+// each request would spend the time-out of a connection attempt on it.
+func (r *Router) avoid(instance string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lostUntil[instance] = r.Clock.Now() + lostPause
+}
+
+func (r *Router) avoided(instance string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Clock.Now() < r.lostUntil[instance]
+}
+
 func (r *Router) silent(instance string) bool {
 	for _, link := range r.Table.Links() {
 		if link.Peer().ID() == instance {
@@ -401,6 +446,9 @@
 // complete. What the owner did is unknown then.
 func (r *Router) lost(u *run, owner waxfleet.Instance, err error) (outcome, error) {
 	r.Recorder.Record(u.ID, "owner-lost", fmt.Sprintf("owner=%s error=%v", owner.ID(), err))
+	if code := connect.CodeOf(err); code == connect.CodeUnavailable || code == connect.CodeDeadlineExceeded {
+		r.avoid(owner.ID())
+	}
 	notSent := notConnected(err)
 	if !notSent {
 		u.maybeRan = true
