waxnode: be ready only with known backend servers

Ruled out: the configuration, which had the accepted version. /readyz now answers 503 until the instance list has shown a backend server; load balancers keep their calls to the other instances.

--- a/waxfleet/waxnode/node.go
+++ b/waxfleet/waxnode/node.go
@@ -299,10 +299,10 @@
 	n.table.SetList(seeds, nil)
 }
 
-// Ready reports whether this instance wants calls: it has a configuration and is
-// not stopping.
+// Ready reports whether this instance wants calls: it has a configuration, knows
+// backend servers and is not stopping.
 func (n *Node) Ready() bool {
-	return !n.draining.Load() && n.config.Current().Version() > 0
+	return !n.draining.Load() && n.config.Current().Version() > 0 && len(n.table.Servers()) > 0
 }
 
 // Drain stops the instance without cutting off a request: it stops admitting,
