--- a/waxfleet/code.go
+++ b/waxfleet/code.go
@@ -16,20 +16,20 @@
 const (
 	CodeOK Code = 0
 
-	CodeMalformedBody     Code = 1001
-	CodeBodyTooLarge      Code = 1002
-	CodeHeaderTooLarge    Code = 1003
-	CodeUnauthorized      Code = 1004
-	CodeUnknownTier       Code = 1005
-	CodeUnknownModel      Code = 1006
-	CodeUnknownService    Code = 1007
-	CodeKeyRequired       Code = 1008
-	CodeKeyFormat         Code = 1009
-	CodeKeyExpired        Code = 1010
-	CodeKeyReused         Code = 1011
-	CodeNotAllowed        Code = 1012
-	CodeKeyInFuture       Code = 1013
-	CodeUnknownPath       Code = 1014
+	CodeMalformedBody  Code = 1001
+	CodeBodyTooLarge   Code = 1002
+	CodeHeaderTooLarge Code = 1003
+	CodeUnauthorized   Code = 1004
+	CodeUnknownTier    Code = 1005
+	CodeUnknownModel   Code = 1006
+	CodeUnknownService Code = 1007
+	CodeKeyRequired    Code = 1008
+	CodeKeyFormat      Code = 1009
+	CodeKeyExpired     Code = 1010
+	CodeKeyReused      Code = 1011
+	CodeNotAllowed     Code = 1012
+	CodeKeyInFuture    Code = 1013
+	CodeUnknownPath    Code = 1014
 
 	CodeOverloaded        Code = 2001
 	CodeDeadlineWouldPass Code = 2002
--- a/waxfleet/waxowner/gate.go
+++ b/waxfleet/waxowner/gate.go
@@ -130,8 +130,12 @@
 	g.nextID++
 	t = t.WithID(g.nextID)
 	verdict := g.admit.Offer(t, c.now, c.bound())
-	if verdict != waxadmit.Wait {
+	switch verdict {
+	case waxadmit.Admit:
+		return verdict, t.ID(), nil, waxfleet.CodeOK
+	case waxadmit.Spill:
 		return verdict, t.ID(), nil, waxfleet.CodeOverloaded
+	case waxadmit.Wait:
 	}
 	ch := make(chan waxadmit.Verdict, 1)
 	g.waiters[t.ID()] = ch
--- a/waxfleet/waxowner/serve.go
+++ b/waxfleet/waxowner/serve.go
@@ -32,6 +32,9 @@
 	// length of the queue, or for the expected wait in it.
 	queueFull bool
 	tooLate   bool
+	// sentAway says that the last try at a backend server failed because admission
+	// there ended, before the wait was over.
+	sentAway bool
 }
 
 func (r *request) deadline() waxfleet.Millis {
@@ -88,10 +91,6 @@
 		if !spilled || err != nil {
 			return err
 		}
-		if code := o.blocked(choice.ID); choice.Reason == waxplace.ReasonFull && code != waxfleet.CodeOK {
-			// The queue was sent away before the deadline; the next owner can serve it.
-			return refuse(replies, waxfleet.NewError(code, "backend server %s takes no new work here", choice.ID), true, choice.ID)
-		}
 		if choice.Reason == waxplace.ReasonFull {
 			return o.refuseLast(r, choice, replies)
 		}
@@ -99,21 +98,13 @@
 	}
 }
 
-// blocked returns the reason why this instance may give the backend server no
-// new work, or CodeOK.
-func (o *Owner) blocked(id string) waxfleet.Code {
-	g, ok := o.gateOf(id)
-	if !ok {
-		return waxfleet.CodeNotOwner
-	}
-	return g.confirm(o.condition(g))
-}
-
 // refuseLast refuses a request that has queued at the last possible place. Before
 // the deadline, the queue was sent away because the backend server died or the
 // right to admit ended, and another place may come free in time.
 func (o *Owner) refuseLast(r *request, choice waxplace.Choice, replies Replies) error {
 	switch {
+	case r.sentAway:
+		return refuse(replies, waxfleet.NewError(waxfleet.CodeNotOwner, "admission to backend server %s ended while the request waited", choice.ID), true, choice.ID)
 	case o.Clock.Now() >= r.deadline():
 		return refuse(replies, waxfleet.NewError(waxfleet.CodeDeadlineWouldPass, "no place came free before the deadline"), false, "")
 	case r.queueFull:
@@ -223,7 +214,8 @@
 	refused := verdict == waxadmit.Spill && code == waxfleet.CodeOverloaded
 	r.queueFull = refused && g.queued() >= o.Config.Current().Limits().QueueLength()
 	r.tooLate = refused && !r.queueFull
-	if verdict == waxadmit.Wait {
+	queued := verdict == waxadmit.Wait
+	if queued {
 		o.Recorder.Record(r.GetRequestId(), "queue", "backend-server="+g.id)
 		var err error
 		verdict, err = g.wait(ctx, id, ch)
@@ -235,6 +227,8 @@
 		}
 	}
 	waited := o.Clock.Now() - now
+	blocked := code != waxfleet.CodeOK && code != waxfleet.CodeOverloaded
+	r.sentAway = verdict == waxadmit.Spill && (blocked || (queued && now+waited < spillAt))
 	o.Recorder.Record(r.GetRequestId(), verdict.String(), fmt.Sprintf("backend-server=%s waited-ms=%d code=%s", g.id, waited, code.Name()))
 	return verdict == waxadmit.Admit, nil
 }
@@ -251,6 +245,7 @@
 	}
 	if code := g.confirm(o.condition(g)); code != waxfleet.CodeOK {
 		g.cancel(o.condition(g))
+		r.sentAway = true
 		o.Recorder.Record(r.GetRequestId(), "not-sent", code.Name())
 		return true, nil
 	}
@@ -363,8 +358,8 @@
 		}
 		return o.refuseRun(ctx, r, g, res, onceError(res, err), replies)
 	}
-	storeCtx, cancel := context.WithTimeout(runCtx, resultTimeout.Duration())
-	defer cancel()
+	storeCtx, stop := context.WithTimeout(runCtx, resultTimeout.Duration())
+	defer stop()
 	if err := o.Claims.Finish(storeCtx, claim, sink.status, sink.contentType, sink.body); err != nil {
 		o.Log.ErrorContext(ctx, "result could not be stored; a repeat will get outcome-unknown", "request-id", r.GetRequestId(), "error", err)
 	}
