waxnode: keep idle connections of callers open at the start of a stop

Drain closed the idle connections of callers at once, and cut off calls that were on their way on them: EOF within 1 to 82 ms. Ruled out: the end of the stop, which comes 1.5 s later. Each connection is now closed by its next answer, and idle ones at the end.

--- a/waxfleet/waxnode/node.go
+++ b/waxfleet/waxnode/node.go
@@ -312,7 +312,6 @@
 	n.draining.Store(true)
 	notified := n.clock.Now() + drainNotice
 	n.table.SetLeaving()
-	n.callers.SetKeepAlivesEnabled(false)
 	n.owner.Stop()
 	n.table.Depart()
 	n.exchanger.All(ctx)
@@ -338,11 +337,16 @@
 	_ = n.peers.Shutdown(ctx)
 }
 
-// count counts running calls, so that Drain can wait for them.
+// count counts running calls, so that Drain can wait for them. While the instance
+// stops, each connection is closed by its next answer: closing idle ones at once
+// would cut off calls that are on their way.
 func (n *Node) count(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		n.active.Add(1)
 		defer n.active.Add(-1)
+		if n.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		next.ServeHTTP(w, r)
 	})
 }
