waxbound: make the runs ordinary code

The runs and their faults move out of the test files, which keep the assertions, the bad histories and the runs with a mechanism switched off. docs/proofs-fleet.md lists the proofs, their figures and their limits.

--- a/waxload/waxbound/leaving_test.go
+++ b/waxload/waxbound/leaving_test.go
@@ -1,97 +1,30 @@
-package waxbound_test
+package waxbound
 
 import (
-	"context"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"waxwingdrift.org/waxfleet"
 	"waxwingdrift.org/waxfleet/waxnode"
-	"waxwingdrift.org/waxload/waxbound"
 	"waxwingdrift.org/waxload/waxembed"
-	"waxwingdrift.org/waxstandin/waxengine"
-	"waxwingdrift.org/waxstandin/waxplatform"
 )
 
-// leavingEngine belongs to caerdydd, whose routers are router-1 and router-5.
-const leavingEngine = 0
-
-// leave is one run: an engine begins to leave.
-type leave struct {
-	name string
-	seed uint64
-	// lag is the lag of the instance list from then on; 0 keeps it.
-	lag waxfleet.Millis
-	// listed and reported say where the mark shows.
-	listed   bool
-	reported bool
-	// before runs before the mark.
-	before func(r *rig)
-}
-
-func leaves() []leave {
-	return []leave{
-		{name: "listed", seed: 21, listed: true},
-		{name: "list-lags", seed: 22, lag: 60_000, listed: true, reported: true},
-		{name: "list-lost", seed: 23, reported: true},
-		{name: "seen-by-owners-only", seed: 24, listed: true, before: cut("router-2", "router-3", "router-4", "router-6", "router-7")},
-		{name: "unseen-by-owners", seed: 25, listed: true, before: cut("router-1", "router-5")},
-		{name: "unseen-by-owners-and-reported", seed: 26, listed: true, reported: true, before: cut("router-1", "router-5")},
-		{name: "platform-down", seed: 27, reported: true, before: func(r *rig) { r.faults(waxplatform.Faults{Outage: true}) }},
-		{name: "slow-and-some-cut-off", seed: 28, listed: true, before: func(r *rig) {
-			r.faults(waxplatform.Faults{SlowBy: 800, CutFrom: []string{"router-1"}})
-		}},
-	}
-}
-
-// runLeave runs one leave and returns the starts, the calls and the quiet time.
-func runLeave(r *rig, l leave) ([]waxbound.Start, []waxbound.Call, waxbound.Quiet) {
-	r.start(10, r.background(l.seed, 10))
-	r.sleep(1_000)
-	if l.before != nil {
-		l.before(r)
-		r.sleep(700)
-	}
-	if l.lag > 0 {
-		r.Platform().SetListLag(l.lag)
-	}
-	e := r.Engines()[leavingEngine]
-	since := r.clock.Now()
-	if l.listed {
-		r.Platform().SetState(e.ID(), waxfleet.StateLeaving)
-	}
-	if l.reported {
-		e.SetFaults(waxengine.Faults{Leaving: true})
-	}
-	r.sleep(6_000)
-	calls := r.stop()
-	return waxbound.EngineStarts(r.Engines()), calls, waxbound.Quiet{Server: e.ID(), Since: since, Grace: waxbound.LeavingBound}
-}
-
 // TestLeavingEngine guards invariant 7: no new work at an engine 3 s after it
 // began to leave, wherever the mark shows.
 func TestLeavingEngine(t *testing.T) {
 	t.Parallel()
 	for _, l := range leaves() {
 		t.Run(l.name, func(t *testing.T) {
-			r := newRig(t, waxembed.DefaultOptions())
+			r := startRig(t, waxembed.DefaultOptions())
 			starts, calls, quiet := runLeave(r, l)
-			t.Logf("last start %d ms after the mark", waxbound.LastStart(starts, quiet))
-			report(t, "leaving", waxbound.CheckQuiet(starts, []waxbound.Quiet{quiet}))
-			report(t, "answers", waxbound.CheckWhole(calls))
+			t.Logf("last start %d ms after the mark", LastStart(starts, quiet))
+			report(t, "leaving", CheckQuiet(starts, []Quiet{quiet}))
+			report(t, "answers", CheckWhole(calls))
 		})
 	}
 }
 
-// noLeaving is a dispatcher whose load reports never say leaving.
-type noLeaving struct{ waxfleet.Dispatcher }
-
-func (d noLeaving) Load(ctx context.Context, b waxfleet.BackendServer) (waxfleet.LoadReport, error) {
-	r, err := d.Dispatcher.Load(ctx, b)
-	return waxfleet.NewLoadReport(r.InFlight(), r.Cold(), false, r.Incarnation()), err
-}
-
 // TestLeavingEngineSwitchedOff shows that the run fails when owners ignore the
 // engine's own report. Seen with seed 23: 8 violations, the first "engine-01: new
 // work 3.314s after it was taken out or began to leave; allowed: 3s".
@@ -101,9 +34,9 @@
 	opts.Hooks = func(string, string) waxnode.Hooks {
 		return waxnode.Hooks{Dispatcher: func(d waxfleet.Dispatcher) waxfleet.Dispatcher { return noLeaving{d} }}
 	}
-	r := newRig(t, opts)
+	r := startRig(t, opts)
 	starts, _, quiet := runLeave(r, leave{seed: 23, reported: true})
-	found := waxbound.CheckQuiet(starts, []waxbound.Quiet{quiet})
+	found := CheckQuiet(starts, []Quiet{quiet})
 	is.True(len(found) > 0)
 	t.Logf("%d violations; first: %s", len(found), found[0])
 }
