waxsuspect: count deaths of suspects right and tell them reliably

Causes, each seen in logs or read: - A suspect was told to one peer of each other failure domain, the first that had been heard in 3 s. When that one had just been killed, or none had been heard yet by an instance that had just started, nobody there knew, and the retry there counted as the first death. Peers of a failure domain are now tried in turn, and the retry itself carries the record. - Two requests with one digest in flight at one death counted as two and were banned. A death is counted once per incarnation and digest. - A suspect that completed was never cleared. It is now, and the clearing reaches peers: deaths and cleared deaths both only grow, so that old messages do no harm. A ban stays. - The place for one suspect per engine did not see requests that became suspects while they ran. All running requests are compared now, and one that has met a death counts as suspect although its digest was cleared.

--- a/waxfleet/waxnode/local.go
+++ b/waxfleet/waxnode/local.go
@@ -23,6 +23,9 @@
 	suspectNews waxfleet.Millis = 10_000
 	// dialTimeout bounds the opening of connections for control traffic.
 	dialTimeout = 2 * time.Second
+	// tellTimeout bounds the passing of a suspect to one peer. It leaves time for
+	// a second one within the 500 ms of the spreading.
+	tellTimeout = 250 * time.Millisecond
 	// configFetchTimeout bounds the fetch of a configuration from a peer.
 	configFetchTimeout = 2 * time.Second
 )
@@ -61,18 +64,22 @@
 // TakeSuspects implements waxmember.Local.
 func (l *localState) TakeSuspects(list []*waxwire.Suspect) {
 	for _, s := range list {
-		l.node.suspects.Merge(s.GetDigest(), int(s.GetDeaths()), waxfleet.Millis(s.GetRemainingMs()))
+		l.node.suspects.Merge(s.GetDigest(), int(s.GetDeaths()), int(s.GetCleared()), waxfleet.Millis(s.GetRemainingMs()))
 	}
 }
 
 func wireSuspects(records []waxsuspect.Record) []*waxwire.Suspect {
 	out := make([]*waxwire.Suspect, len(records))
 	for i, r := range records {
-		out[i] = &waxwire.Suspect{Digest: r.Digest(), Deaths: int32(r.Deaths()), RemainingMs: int64(r.Remaining())}
+		out[i] = wireSuspect(r)
 	}
 	return out
 }
 
+func wireSuspect(r waxsuspect.Record) *waxwire.Suspect {
+	return &waxwire.Suspect{Digest: r.Digest(), Deaths: int32(r.Deaths()), Cleared: int32(r.Cleared()), RemainingMs: int64(r.Remaining())}
+}
+
 // assignmentChanged tells the peers at once: the previous owners' counts and the
 // confirmation of the epoch are what new owners wait for.
 func (n *Node) assignmentChanged() {
@@ -136,40 +143,63 @@
 // spread passes a suspect on to all live peers of this failure domain and one of
 // each other, and returns when they have it or ctx ends.
 func (n *Node) spread(ctx context.Context, digest string) {
-	var record *waxwire.Suspect
-	for _, s := range wireSuspects(n.suspects.All()) {
-		if s.GetDigest() == digest {
-			record = s
-		}
-	}
-	if record == nil {
+	record, ok := n.suspects.Find(digest)
+	if !ok {
 		return
 	}
-	record.Relay = true
-	n.send(ctx, record, true)
+	n.send(ctx, wireSuspect(record), true)
 }
 
-// send passes a suspect record to the live peers of this failure domain and, if
-// wide, to one of each other.
+// send passes a suspect record to the peers of this failure domain and, if wide,
+// to one of each other, which relays it. Peers that are not known to be alive are
+// tried too, elsewhere after the others: an instance that has just started has not
+// heard from most, and one that was heard may have ended since.
 func (n *Node) send(ctx context.Context, record *waxwire.Suspect, wide bool) {
 	var wg sync.WaitGroup
-	seen := map[string]bool{}
-	for _, link := range n.table.Links() {
+	elsewhere := map[string][]string{}
+	links := n.table.Links()
+	slices.SortStableFunc(links, func(a, b waxfleet.Link) int { return unhealthy(a) - unhealthy(b) })
+	for _, link := range links {
 		peer := link.Peer()
-		own := peer.FailureDomain() == n.self.FailureDomain()
-		if !link.Healthy() || (!own && (!wide || seen[peer.FailureDomain()])) {
+		if peer.FailureDomain() != n.self.FailureDomain() {
+			elsewhere[peer.FailureDomain()] = append(elsewhere[peer.FailureDomain()], peer.PeerAddress())
 			continue
 		}
-		seen[peer.FailureDomain()] = true
-		relay := !own
+		wg.Go(func() { _ = n.tell(ctx, peer.PeerAddress(), record, false) })
+	}
+	for _, addresses := range elsewhere {
+		if !wide {
+			break
+		}
 		wg.Go(func() {
-			s := &waxwire.Suspect{Digest: record.GetDigest(), Deaths: record.GetDeaths(), RemainingMs: record.GetRemainingMs(), Relay: relay}
-			_, _ = n.links.Control(peer.PeerAddress()).SpreadSuspect(ctx, connect.NewRequest(s))
+			for _, address := range addresses {
+				if n.tell(ctx, address, record, true) == nil || ctx.Err() != nil {
+					return
+				}
+			}
 		})
 	}
 	wg.Wait()
 }
 
+func unhealthy(l waxfleet.Link) int {
+	if l.Healthy() {
+		return 0
+	}
+	return 1
+}
+
+func (n *Node) tell(ctx context.Context, address string, record *waxwire.Suspect, relay bool) error {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	s := &waxwire.Suspect{
+		Digest: record.GetDigest(), Deaths: record.GetDeaths(), Cleared: record.GetCleared(),
+		RemainingMs: record.GetRemainingMs(), Relay: relay,
+	}
+	_, err := n.links.Control(address).SpreadSuspect(ctx, connect.NewRequest(s))
+	return err
+}
+
 // news brings the newest assignment after a pause: from any peer or from the
 // platform, whichever answers first.
 func (n *Node) news(ctx context.Context) {
--- a/waxfleet/waxnode/peerservice.go
+++ b/waxfleet/waxnode/peerservice.go
@@ -41,7 +41,7 @@
 func (p *peerService) SpreadSuspect(ctx context.Context, req *connect.Request[waxwire.Suspect]) (*connect.Response[waxwire.SpreadReply], error) {
 	countControl(ctx)
 	s := req.Msg
-	changed := p.node.suspects.Merge(s.GetDigest(), int(s.GetDeaths()), waxfleet.Millis(s.GetRemainingMs()))
+	changed := p.node.suspects.Merge(s.GetDigest(), int(s.GetDeaths()), int(s.GetCleared()), waxfleet.Millis(s.GetRemainingMs()))
 	if changed && s.GetRelay() {
 		p.node.send(ctx, s, false)
 	}
--- a/waxfleet/waxowner/gate.go
+++ b/waxfleet/waxowner/gate.go
@@ -30,11 +30,12 @@
 	deadTill waxfleet.Millis
 	reported int
 	ownThen  int
-	suspect  bool
+	// running has the requests that were dispatched and have not ended.
+	running map[*request]struct{}
 }
 
 func newGate(b waxfleet.BackendServer, limits waxfleet.Limits) *gate {
-	return &gate{id: b.ID(), service: b.Service(), server: b, admit: waxadmit.NewServer(limits), waiters: map[uint64]chan waxadmit.Verdict{}}
+	return &gate{id: b.ID(), service: b.Service(), server: b, admit: waxadmit.NewServer(limits), waiters: map[uint64]chan waxadmit.Verdict{}, running: map[*request]struct{}{}}
 }
 
 // condition is what the owner knows outside the gate when it admits.
@@ -208,22 +209,39 @@
 	}
 }
 
-// holdSuspect lets one suspect run at a time; it reports whether the caller has
-// the place.
-func (g *gate) holdSuspect() bool {
+// enter takes a request among the running ones, unless it is a suspect and would
+// run beside another. One that runs can have become a suspect since, by the death
+// of a backend server elsewhere.
+func (g *gate) enter(r *request, suspected func(r *request) bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.suspect {
-		return false
+	if suspected(r) {
+		for other := range g.running {
+			if suspected(other) {
+				return false
+			}
+		}
 	}
-	g.suspect = true
+	g.running[r] = struct{}{}
 	return true
 }
 
-func (g *gate) freeSuspect() {
+func (g *gate) leave(r *request) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.running, r)
+}
+
+// life names the incarnation of the backend server, or is empty while no load
+// report has told it.
+func (g *gate) life() string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.suspect = false
+	incarnation := g.admit.Window().Incarnation()
+	if incarnation == "" {
+		return ""
+	}
+	return g.id + "/" + incarnation
 }
 
 // wait blocks until the verdict of a queued request, or until ctx ends. An
--- a/waxfleet/waxowner/serve.go
+++ b/waxfleet/waxowner/serve.go
@@ -50,6 +50,9 @@
 	if !cfg.DomainIn(o.Table.Self().FailureDomain()) {
 		return refuse(replies, waxfleet.NewError(waxfleet.CodeDomainOut, "failure domain %s is out of service", o.Table.Self().FailureDomain()), true, "")
 	}
+	if s := req.GetSuspect(); s != nil {
+		o.Suspects.Merge(req.GetRequestDigest(), int(s.GetDeaths()), int(s.GetCleared()), waxfleet.Millis(s.GetRemainingMs()))
+	}
 	if o.Suspects.Banned(req.GetRequestDigest()) {
 		return refuse(replies, bannedError(), false, "")
 	}
@@ -224,13 +227,12 @@
 // runAdmitted runs a request that has a place. The right to admit is checked
 // once more, because it may have ended during the wait.
 func (o *Owner) runAdmitted(ctx context.Context, r *request, g *gate, replies Replies) (spilled bool, err error) {
-	if o.Suspects.Suspect(r.GetRequestDigest()) {
-		if !g.holdSuspect() {
-			g.cancel(o.condition(g))
-			return true, nil
-		}
-		defer g.freeSuspect()
+	if !g.enter(r, o.suspected) {
+		g.cancel(o.condition(g))
+		o.Recorder.Record(r.GetRequestId(), "not-sent", "a suspect may not run beside another")
+		return true, nil
 	}
+	defer g.leave(r)
 	if code := g.confirm(o.condition(g)); code != waxfleet.CodeOK {
 		g.cancel(o.condition(g))
 		o.Recorder.Record(r.GetRequestId(), "not-sent", code.Name())
@@ -253,10 +255,11 @@
 // runRepeatable dispatches a request that may be repeated and streams its answer.
 func (o *Owner) runRepeatable(ctx context.Context, r *request, g *gate, replies Replies) error {
 	sink := &forwardSink{replies: replies, server: g.id}
+	life := g.life()
 	res, err := o.Dispatcher.Do(ctx, o.call(r, g), sink)
 	o.finish(ctx, r, g, res, err)
 	if err != nil {
-		return o.refuseRun(ctx, r, g, res, err, replies)
+		return o.refuseRun(ctx, r, g, life, res, err, replies)
 	}
 	return replies.Send(&waxwire.ServeReply{Part: &waxwire.ServeReply_End{End: &waxwire.End{Events: res.Events}}})
 }
@@ -269,20 +272,26 @@
 		FirstByte: res.FirstByte,
 	}
 	g.end(outcome, o.condition(g))
+	if err == nil {
+		o.Suspects.Clear(r.GetRequestDigest())
+	}
 	o.Recorder.Record(r.GetRequestId(), "ran", fmt.Sprintf("backend-server=%s whole=%t events=%d first-byte-ms=%d code=%s",
 		g.id, res.Whole, res.Events, res.FirstByte, waxfleet.CodeOf(err).Name()))
 }
 
 // refuseRun reports a run that failed. A backend server that died makes the
-// request a suspect; other instances learn it before anyone can retry.
-func (o *Owner) refuseRun(ctx context.Context, r *request, g *gate, res waxfleet.CallResult, err error, replies Replies) error {
+// request a suspect; other instances learn it before anyone can retry. life is
+// that of the backend server at the dispatch.
+func (o *Owner) refuseRun(ctx context.Context, r *request, g *gate, life string, res waxfleet.CallResult, err error, replies Replies) error {
 	e := asError(err)
 	if res.Sent && !res.Busy {
 		e = e.MaybeRun()
 	}
+	var suspect *waxwire.Suspect
 	if res.Died {
 		g.died(o.condition(g))
-		deaths := o.Suspects.Died(r.GetRequestDigest())
+		deaths := o.Suspects.Died(r.GetRequestDigest(), life)
+		suspect = o.suspect(r)
 		o.Log.WarnContext(ctx, "backend server died while it ran a request", "backend-server", g.id, "request-id", r.GetRequestId(), "deaths", deaths)
 		spreadCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), spreadTimeout.Duration())
 		defer cancel()
@@ -290,10 +299,28 @@
 	}
 	return replies.Send(&waxwire.ServeReply{Part: &waxwire.ServeReply_Refusal{Refusal: &waxwire.Refusal{
 		Code: int32(e.Code()), Message: e.Message(), NotRun: e.NotRun(), Retryable: !r.GetOnce() || (e.NotRun() && !res.Sent),
-		Died: res.Died, BackendServer: g.id, Events: res.Events,
+		Died: res.Died, BackendServer: g.id, Events: res.Events, Suspect: suspect,
 	}}})
 }
 
+// suspected reports whether the request may not run beside a suspect: it is one,
+// or it has met a death and would end with the next. The completion of a request
+// with the same digest clears the first but not the second.
+func (o *Owner) suspected(r *request) bool {
+	return r.GetSuspect() != nil || o.Suspects.Suspect(r.GetRequestDigest())
+}
+
+// suspect returns what is known of a request that was in flight at a death.
+func (o *Owner) suspect(r *request) *waxwire.Suspect {
+	record, ok := o.Suspects.Find(r.GetRequestDigest())
+	if !ok {
+		return nil
+	}
+	return &waxwire.Suspect{
+		Digest: record.Digest(), Deaths: int32(record.Deaths()), Cleared: int32(record.Cleared()), RemainingMs: int64(record.Remaining()),
+	}
+}
+
 // runOnce claims the request, dispatches it at most once, stores the result and
 // then answers.
 func (o *Owner) runOnce(ctx context.Context, r *request, g *gate, replies Replies) error {
@@ -317,6 +344,7 @@
 	// The run goes on when the caller goes away: its outcome must be stored.
 	runCtx := context.WithoutCancel(ctx)
 	sink := &bufferSink{}
+	life := g.life()
 	res, err := o.Dispatcher.Do(runCtx, o.call(r, g), sink)
 	o.finish(ctx, r, g, res, err)
 	if err != nil {
@@ -325,7 +353,7 @@
 		} else {
 			o.release(ctx, claim)
 		}
-		return o.refuseRun(ctx, r, g, res, onceError(res, err), replies)
+		return o.refuseRun(ctx, r, g, life, res, onceError(res, err), replies)
 	}
 	storeCtx, cancel := context.WithTimeout(runCtx, resultTimeout.Duration())
 	defer cancel()
--- a/waxfleet/waxroute/router.go
+++ b/waxfleet/waxroute/router.go
@@ -79,6 +79,7 @@
 	// follow it, also when the owner is lost before it reports the end.
 	finished bool
 	deaths   int
+	suspect  *waxwire.Suspect
 	lastFail *waxfleet.Error
 	maybeRan bool
 }
@@ -231,7 +232,7 @@
 
 func (r *Router) searchRequest(u *run, s *search, final bool) *waxwire.ServeRequest {
 	req := u.wire(u.remaining(r.Clock.Now()))
-	req.Home, req.Excluded, req.Final = s.homes[0], s.excluded, final
+	req.Home, req.Excluded, req.Final, req.Suspect = s.homes[0], s.excluded, final, u.suspect
 	req.BackendServer = s.server()
 	if s.target.ID != "" {
 		req.Placed = true
@@ -389,6 +390,10 @@
 	if f.GetDied() {
 		u.deaths++
 	}
+	if s := f.GetSuspect(); s != nil {
+		u.suspect = s
+		r.Suspects.Merge(u.Digest, int(s.GetDeaths()), int(s.GetCleared()), waxfleet.Millis(s.GetRemainingMs()))
+	}
 	r.Recorder.Record(u.ID, "refused", fmt.Sprintf("backend-server=%s code=%s not-run=%t died=%t", f.GetBackendServer(), u.lastFail.Code().Name(), f.GetNotRun(), f.GetDied()))
 	switch {
 	case u.deaths >= maxDeaths || r.Suspects.Banned(u.Digest):
--- a/waxfleet/waxsuspect/register.go
+++ b/waxfleet/waxsuspect/register.go
@@ -25,10 +25,15 @@
 	echoGrace waxfleet.Millis = 60_000
 )
 
+// sameDeath is how long after the first notice further requests with the same
+// digest notice one death. It covers the probe of a backend server.
+const sameDeath waxfleet.Millis = 2_000
+
 // Record is what the register knows of one request.
 type Record struct {
 	digest    string
 	deaths    int
+	cleared   int
 	remaining waxfleet.Millis
 }
 
@@ -38,18 +43,30 @@
 // Deaths returns the number of backend servers that died while they ran it.
 func (r Record) Deaths() int { return r.deaths }
 
+// Cleared returns how many of the deaths no longer count, because the request
+// completed afterwards.
+func (r Record) Cleared() int { return r.cleared }
+
 // Remaining returns the remaining life of the record.
 func (r Record) Remaining() waxfleet.Millis { return r.remaining }
 
+// entry counts deaths and those that were cleared. Both only grow, so that
+// records of peers can be merged in any order.
 type entry struct {
 	deaths  int
-	cleared bool
+	cleared int
 	expires waxfleet.Millis
 	changed waxfleet.Millis
+	// life names the incarnation whose death was counted last, and died its time.
+	life string
+	died waxfleet.Millis
 }
 
-// live reports whether the entry counts.
-func (e entry) live(now waxfleet.Millis) bool { return !e.cleared && now < e.expires }
+// live reports whether the entry has not expired.
+func (e entry) live(now waxfleet.Millis) bool { return now < e.expires }
+
+// counted returns the deaths that count.
+func (e entry) counted() int { return e.deaths - e.cleared }
 
 // Register holds the records of this instance.
 type Register struct {
@@ -65,55 +82,89 @@
 }
 
 // Died counts the death of a backend server that ran the request, and returns
-// the deaths so far.
-func (r *Register) Died(digest string) (deaths int) {
+// the deaths that count so far. life names the incarnation that died: several
+// requests with one digest there count it once. Without a name each is counted.
+func (r *Register) Died(digest, life string) (deaths int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
-	if e, ok := r.entries[digest]; ok && e.live(now) {
-		deaths = e.deaths
+	e, ok := r.entries[digest]
+	if !ok || !e.live(now) {
+		e = entry{}
+	}
+	if life != "" && e.life == life && now-e.died < sameDeath {
+		return e.counted()
 	}
-	deaths++
-	r.put(digest, entry{deaths: deaths, expires: now + Lifetime, changed: now})
-	return deaths
+	e.deaths++
+	e.life, e.died = life, now
+	e.expires, e.changed = now+Lifetime, now
+	r.put(digest, e)
+	return e.counted()
 }
 
-// Merge takes a peer's record and reports whether it was news. Only a higher
-// number of deaths is: equal records would renew each other's life forever.
-func (r *Register) Merge(digest string, deaths int, remaining waxfleet.Millis) (changed bool) {
-	if deaths <= 0 || remaining <= 0 {
+// Merge takes a peer's record and reports whether it was news. Only higher
+// numbers are: equal records would renew each other's life forever. A ban of the
+// peer is a ban here, whatever was cleared.
+func (r *Register) Merge(digest string, deaths, cleared int, remaining waxfleet.Millis) (changed bool) {
+	if deaths <= 0 || cleared < 0 || cleared > deaths || remaining <= 0 {
 		return false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
-	expires := now + min(remaining, Lifetime)
 	e, ok := r.entries[digest]
-	switch {
-	case ok && e.live(now):
-		if deaths <= e.deaths {
+	if ok && !e.live(now) {
+		if remaining <= echoGrace {
 			return false
 		}
-		expires = max(expires, e.expires)
-	case ok && e.cleared && deaths <= e.deaths:
-		return false
-	case ok && !e.cleared && remaining <= echoGrace:
+		e = entry{}
+	}
+	merged := e
+	merged.deaths = max(e.deaths, deaths)
+	merged.cleared = max(e.cleared, cleared)
+	switch {
+	case e.counted() >= BanDeaths:
+		merged.cleared = e.cleared
+	case deaths-cleared >= BanDeaths:
+		merged.cleared = cleared
+	}
+	if merged.deaths == e.deaths && merged.cleared == e.cleared {
 		return false
 	}
-	r.put(digest, entry{deaths: deaths, expires: expires, changed: now})
+	if merged.deaths > e.deaths {
+		merged.expires = max(e.expires, now+min(remaining, Lifetime))
+	}
+	merged.changed = now
+	r.put(digest, merged)
 	return true
 }
 
-// Clear drops the suspicion against a request that completed. A ban stays.
-func (r *Register) Clear(digest string) {
+// Clear drops the suspicion against a request that completed, and reports
+// whether there was one. A ban stays.
+func (r *Register) Clear(digest string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := r.clock.Now()
 	e, ok := r.entries[digest]
-	if !ok || e.deaths >= BanDeaths {
-		return
+	if !ok || !e.live(now) || e.counted() == 0 || e.counted() >= BanDeaths {
+		return false
 	}
-	e.cleared = true
+	e.cleared, e.changed = e.deaths, now
 	r.entries[digest] = e
+	return true
+}
+
+// Find returns the live record of a request.
+func (r *Register) Find(digest string) (Record, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	e, ok := r.entries[digest]
+	return e.record(digest, now), ok && e.live(now)
+}
+
+func (e entry) record(digest string, now waxfleet.Millis) Record {
+	return Record{digest: digest, deaths: e.deaths, cleared: e.cleared, remaining: e.expires - now}
 }
 
 // Deaths returns the deaths that count against the request.
@@ -124,7 +175,7 @@
 	if !ok || !e.live(r.clock.Now()) {
 		return 0
 	}
-	return e.deaths
+	return e.counted()
 }
 
 // Banned reports whether the request may not run anywhere.
@@ -151,7 +202,7 @@
 	var records []Record
 	for digest, e := range r.entries {
 		if e.live(now) && want(e) {
-			records = append(records, Record{digest: digest, deaths: e.deaths, remaining: e.expires - now})
+			records = append(records, e.record(digest, now))
 		}
 	}
 	slices.SortFunc(records, func(a, b Record) int { return strings.Compare(a.digest, b.digest) })
@@ -189,8 +240,8 @@
 	if a.live(now) != b.live(now) {
 		return !a.live(now)
 	}
-	if a.deaths != b.deaths {
-		return a.deaths < b.deaths
+	if a.counted() != b.counted() {
+		return a.counted() < b.counted()
 	}
 	return a.expires < b.expires
 }
--- a/waxfleet/waxsuspect/register_test.go
+++ b/waxfleet/waxsuspect/register_test.go
@@ -15,17 +15,17 @@
 	clock := waxfleet.NewManualClock(0)
 	r := New(clock)
 	is.True(!r.Suspect("a"))
-	is.Equal(r.Died("a"), 1)
+	is.Equal(r.Died("a", ""), 1)
 	is.True(r.Suspect("a"))
 	is.True(!r.Banned("a"))
 	clock.Advance(Lifetime - 1)
-	is.Equal(r.Died("a"), 2)
+	is.Equal(r.Died("a", ""), 2)
 	is.True(r.Banned("a"))
 	clock.Advance(Lifetime - 1)
 	is.True(r.Banned("a"))
 	clock.Advance(1)
 	is.True(!r.Banned("a"))
-	is.Equal(r.Died("a"), 1)
+	is.Equal(r.Died("a", ""), 1)
 }
 
 // Guards against records that two peers renew for each other without a death.
@@ -33,11 +33,11 @@
 	is := is.New(t)
 	clock := waxfleet.NewManualClock(0)
 	a, b := New(clock), New(clock)
-	a.Died("x")
+	a.Died("x", "")
 	gossip := func(from, to *Register) (news int) {
 		for _, record := range from.All() {
 			clock.Advance(40) // transit, which the message does not account for
-			if to.Merge(record.Digest(), record.Deaths(), record.Remaining()) {
+			if to.Merge(record.Digest(), record.Deaths(), record.Cleared(), record.Remaining()) {
 				news++
 			}
 		}
@@ -51,31 +51,70 @@
 	}
 	is.True(!a.Suspect("x"))
 	is.True(!b.Suspect("x"))
-	is.True(a.Merge("x", 1, Lifetime)) // a new death elsewhere
+	is.True(a.Merge("x", 1, 0, Lifetime)) // a new death elsewhere
 }
 
 // Guards against a neighbour of a poison request that stays suspect.
 func TestClearDropsSuspicionButNoBan(t *testing.T) {
 	is := is.New(t)
 	r := New(waxfleet.NewManualClock(0))
-	r.Died("neighbour")
+	r.Died("neighbour", "")
 	r.Clear("neighbour")
 	is.True(!r.Suspect("neighbour"))
-	is.True(!r.Merge("neighbour", 1, Lifetime))
-	is.True(r.Merge("neighbour", 2, Lifetime))
+	is.True(!r.Merge("neighbour", 1, 0, Lifetime))
+	is.True(r.Merge("neighbour", 2, 0, Lifetime))
 	r.Clear("neighbour")
 	is.True(r.Banned("neighbour"))
 }
 
+// Guards against one death that bans a request because it was in flight twice,
+// and against a second death that is taken for the first.
+func TestOneDeathCountsOnce(t *testing.T) {
+	is := is.New(t)
+	clock := waxfleet.NewManualClock(0)
+	r := New(clock)
+	is.Equal(r.Died("twin", "engine-01/1"), 1)
+	is.Equal(r.Died("twin", "engine-01/1"), 1)
+	is.Equal(r.Died("twin", "engine-01/2"), 2)
+	is.Equal(r.Died("other", "engine-01/1"), 1)
+	clock.Advance(sameDeath)
+	is.Equal(r.Died("other", "engine-01/1"), 2)
+}
+
+// Guards against peers that keep a suspicion which was cleared, and against an
+// old message that clears a later death.
+func TestClearReachesPeers(t *testing.T) {
+	is := is.New(t)
+	clock := waxfleet.NewManualClock(0)
+	a, b := New(clock), New(clock)
+	tell := func() {
+		for _, record := range a.All() {
+			b.Merge(record.Digest(), record.Deaths(), record.Cleared(), record.Remaining())
+		}
+	}
+	a.Died("x", "")
+	tell()
+	is.True(b.Suspect("x"))
+	is.True(a.Clear("x"))
+	tell()
+	is.True(!b.Suspect("x"))
+	is.Equal(b.Died("x", ""), 1)
+	tell()
+	is.True(b.Suspect("x"))
+	is.Equal(b.Died("x", ""), 2)
+	tell()
+	is.True(b.Banned("x"))
+}
+
 // Guards against a register that grows without bound or drops bans for suspects.
 func TestFullRegisterKeepsBans(t *testing.T) {
 	is := is.New(t)
 	clock := waxfleet.NewManualClock(0)
 	r := New(clock)
-	r.Merge("banned", BanDeaths, Lifetime)
+	r.Merge("banned", BanDeaths, 0, Lifetime)
 	for i := range MaxRecords + 50 {
 		clock.Advance(1)
-		r.Died(fmt.Sprint(i))
+		r.Died(fmt.Sprint(i), "")
 	}
 	is.Equal(len(r.All()), MaxRecords)
 	is.True(r.Banned("banned"))
