--- a/waxload/waxcheck/notrun_test.go
+++ b/waxload/waxcheck/notrun_test.go
@@ -54,7 +54,9 @@
 }
 
 // TestNotRunSwitches shows that the run of TestNotRunIsTrue fails when the
-// dispatcher does not tell that a request was sent.
+// dispatcher does not tell that a request was sent. Seen with seed 11: 12 wrong
+// under service-dies-in-call+cut-results, "bdbc49233a3da9432b7b4f7b345e4f3b at
+// desk-1: 2 calls for it said not run and none another thing".
 func TestNotRunSwitches(t *testing.T) {
 	t.Parallel()
 	demand(t, faultSwitch{
--- a/waxload/waxcheck/once_test.go
+++ b/waxload/waxcheck/once_test.go
@@ -65,7 +65,13 @@
 }
 
 // TestAtMostOnceSwitches shows that the run of TestAtMostOnce fails when a
-// mechanism of section 11 is off.
+// mechanism of section 11 is off. Seen with seed 11:
+//   - claims-off, 11 wrong under platform-slow: "88a77537ba50624d170247438f971b45
+//     ran 3 times".
+//   - release-after-dispatch, 4 wrong under cut-results:
+//     "7e2cdc90575a1094871df8e96cb2d716 ran 2 times".
+//   - dispatch-repeated, 4 wrong under cut-results:
+//     "00bc83d23543e50af67c10e8a732d9f1 ran 2 times".
 func TestAtMostOnceSwitches(t *testing.T) {
 	t.Parallel()
 	for _, s := range []faultSwitch{
--- a/waxload/waxcheck/world.go
+++ b/waxload/waxcheck/world.go
@@ -43,6 +43,8 @@
 	serial int
 	// pick is drawn for each run; the faults choose routers by it.
 	pick int
+	// regular is a chat that is sent in each run with poison requests.
+	regular Request
 
 	mu       sync.Mutex
 	killed   map[string]bool
@@ -58,6 +60,9 @@
 	opts := waxembed.DefaultOptions()
 	opts.Engines, opts.ListLag, opts.ProgressTimeout = engines, 100, runProgressTimeout
 	opts.Engine.TokenInterval, opts.ServiceDelay = 5, 40
+	// Restarted engines bear a full batch: that cold ones get no more than they
+	// bear is another promise, and their deaths would be counted here.
+	opts.Engine.ColdWindow = opts.Engine.MaxBatch
 	opts.Tiers, opts.Limits = tiers, limits
 	opts.RouterOptions = append([]waxnode.Option{shortTimeouts}, options...)
 	opts.Workspaces = []string{"ws-01"}
