--- a/waxfleet/waxowner/gate.go
+++ b/waxfleet/waxowner/gate.go
@@ -40,7 +40,6 @@
 	deadTill waxfleet.Millis
 	reported int
 	ownThen  int
-	suspect  bool
 	retired  bool
 	// reportedAt is when the last load report came.
 	reportedAt waxfleet.Millis
@@ -48,10 +47,12 @@
 	// got it.
 	admitting      bool
 	admittingSince waxfleet.Millis
+	// running has the requests that were dispatched and have not ended.
+	running map[*request]struct{}
 }
 
 func newGate(b waxfleet.BackendServer, limits waxfleet.Limits) *gate {
-	return &gate{id: b.ID(), service: b.Service(), limits: limits, server: b, admit: waxadmit.NewServer(limits), waiters: map[uint64]chan waxadmit.Verdict{}}
+	return &gate{id: b.ID(), service: b.Service(), limits: limits, server: b, admit: waxadmit.NewServer(limits), waiters: map[uint64]chan waxadmit.Verdict{}, running: map[*request]struct{}{}}
 }
 
 // condition is what the owner knows outside the gate when it admits.
@@ -223,9 +224,9 @@
 	}
 }
 
-// leave sends new work elsewhere for good: the backend server is gone from the
+// withdraw sends new work elsewhere for good: the backend server is gone from the
 // instance list.
-func (g *gate) leave() {
+func (g *gate) withdraw() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.leaving = true
@@ -263,22 +264,39 @@
 	}
 }
 
-// holdSuspect lets one suspect run at a time; it reports whether the caller has
-// the place.
-func (g *gate) holdSuspect() bool {
+// enter takes a request among the running ones, unless it is a suspect and would
+// run beside another. One that runs can have become a suspect since, by the death
+// of a backend server elsewhere.
+func (g *gate) enter(r *request, suspected func(r *request) bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.suspect {
-		return false
+	if suspected(r) {
+		for other := range g.running {
+			if suspected(other) {
+				return false
+			}
+		}
 	}
-	g.suspect = true
+	g.running[r] = struct{}{}
 	return true
 }
 
-func (g *gate) freeSuspect() {
+func (g *gate) leave(r *request) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.running, r)
+}
+
+// life names the incarnation of the backend server, or is empty while no load
+// report has told it.
+func (g *gate) life() string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.suspect = false
+	incarnation := g.admit.Window().Incarnation()
+	if incarnation == "" {
+		return ""
+	}
+	return g.id + "/" + incarnation
 }
 
 // wait blocks until the verdict of a queued request, or until ctx ends. An
--- a/waxfleet/waxowner/owner.go
+++ b/waxfleet/waxowner/owner.go
@@ -253,7 +253,7 @@
 	for _, g := range o.allGates() {
 		candidate, listed := wanted[g.id]
 		if !listed {
-			g.leave()
+			g.withdraw()
 		}
 		g.tick(o.condition(g))
 		if !candidate && g.retire() {
