--- a/waxload/waxreport/table.go
+++ b/waxload/waxreport/table.go
@@ -37,7 +37,9 @@
 	row("cache reuse", "%.3f over %d requests", r.Reuse, r.ReuseRequests)
 	row("skew", "p50 %.2f, p95 %.2f, max %.2f over %d samples", r.Skew.P50, r.Skew.P95, r.Skew.Max, r.Skew.Count)
 	row("control", "mean %.0f B/s, max %.0f B/s over %d instances", r.Control.Mean, r.Control.Max, r.Control.Instances)
-	row("added latency", "%s", r.Added.text())
+	if r.Added.Count > 0 {
+		row("added latency", "%s", r.Added.text())
+	}
 	return t.Flush()
 }
 
