waxlease: rejoin within 15 s after removals

An instance that others removed several times, because it got no processor time, waited up to 60 s before it added itself again, and the count of removals never fell. The delay is at most 15 s now and begins anew after a minute as a member.

--- a/waxfleet/waxlease/keeper.go
+++ b/waxfleet/waxlease/keeper.go
@@ -23,11 +23,12 @@
 	// assignment of its failure domain.
 	joinDelay waxfleet.Millis = 1_500
 	// rejoinDelay is how long an instance that others removed waits before it adds
-	// itself again; it doubles with each removal up to rejoinDelayMax. Without it,
-	// two instances of which only one hears the other rewrite the assignment
-	// without end.
-	rejoinDelay    waxfleet.Millis = 2_000
-	rejoinDelayMax waxfleet.Millis = 60_000
+	// itself again; it doubles with each removal up to rejoinDelayMax, and begins
+	// anew after rejoinReset as a member. Without it, two instances of which only
+	// one hears the other rewrite the assignment without end.
+	rejoinDelay    waxfleet.Millis = 1_000
+	rejoinDelayMax waxfleet.Millis = 15_000
+	rejoinReset    waxfleet.Millis = 60_000
 	// watchRetry is the wait after a failed watch.
 	watchRetry waxfleet.Millis = 1_000
 )
@@ -249,6 +250,9 @@
 		return
 	}
 	if k.assignment.Has(k.self) && !a.Has(k.self) {
+		if k.clock.Now()-k.adopted > rejoinReset {
+			k.removals = 0
+		}
 		k.removals++
 	}
 	k.assignment, k.value, k.version = a, value, version
