waxcheck: bound the fleets at once and kill engines in mid-stream

Cause: with ten fleets at once under the race detector on a busy machine, fleets were not ready in 30 s, and the kill of an engine came before its first stream, so that continuation-off found nothing in four runs. Change: at most six fleets run at once, and the kill waits for streams.

--- a/waxload/waxcheck/answers_test.go
+++ b/waxload/waxcheck/answers_test.go
@@ -15,8 +15,14 @@
 // seeds of the runs. Each runs all faults singly and a third of the pairs.
 var seeds = []uint64{11, 23, 47}
 
+// fleets bounds the fleets that run at once. More of them slow each other down,
+// under the race detector until callers reach their time-out.
+var fleets = make(chan struct{}, 6)
+
 func newTestWorld(t *testing.T, seed uint64, engines int, limits string, options ...waxnode.Option) *World {
 	t.Helper()
+	fleets <- struct{}{}
+	t.Cleanup(func() { <-fleets })
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	w, err := NewWorld(ctx, seed, engines, limits, options...)
--- a/waxload/waxcheck/fault.go
+++ b/waxload/waxcheck/fault.go
@@ -53,15 +53,19 @@
 			}
 		}
 	}}
-	// EngineKilled ends the engine with the most work in flight, and brings it
-	// back before the run ends.
-	EngineKilled = Fault{Name: "engine-killed", Spares: true, During: func(_ context.Context, w *World) {
+	// EngineKilled ends an engine that has streams for a while, and brings it back
+	// before the run ends.
+	EngineKilled = Fault{Name: "engine-killed", Spares: true, AtOnce: true, During: func(ctx context.Context, w *World) {
 		busiest := w.fleet.Engines()[0]
-		for _, e := range w.fleet.Engines() {
-			if e.InFlight() > busiest.InFlight() {
-				busiest = e
+		watch(ctx, func() bool {
+			for _, e := range w.fleet.Engines() {
+				if e.InFlight() > busiest.InFlight() {
+					busiest = e
+				}
 			}
-		}
+			return busiest.InFlight() > 2
+		})
+		time.Sleep(midStream)
 		busiest.Kill()
 		time.Sleep(killedFor)
 		_ = busiest.Restart()
@@ -82,6 +86,10 @@
 	}}
 )
 
+// midStream is the time from the start of some streams to the kill of their
+// engine: a few tokens.
+const midStream = 40 * time.Millisecond
+
 // killedFor is how long a killed engine is down. It is longer than the probes
 // that tell a death from a lost connection usually take.
 const killedFor = 300 * time.Millisecond
--- a/waxload/waxcheck/switch_test.go
+++ b/waxload/waxcheck/switch_test.go
@@ -102,7 +102,7 @@
 	t.Run(s.name, func(t *testing.T) {
 		t.Parallel()
 		w := newTestWorld(t, seeds[0], engines, "", s.off)
-		for range 4 {
+		for range 8 {
 			p, err := run(w)
 			if err != nil {
 				t.Fatal(err)
