waxmember: use the member names of waxlease

The table and the node parsed and built instance@incarnation on their own, beside waxlease.Member, and the table kept a method Refresh that nothing called. One piece of code reads and writes member names now; behaviour is the same. The tests of waxlease, which drive the table, and of waxembed pass; the linter is clean on both packages.

--- a/waxfleet/waxmember/digest.go
+++ b/waxfleet/waxmember/digest.go
@@ -95,7 +95,7 @@
 			}
 		}
 	}
-	self := t.self.ID() + "@" + t.incarnation
+	self := t.selfMember()
 	gone := func(m string, _ bool) bool { return !named[m] && m != self }
 	before := len(t.departed)
 	maps.DeleteFunc(t.departed, gone)
@@ -200,8 +200,7 @@
 func (t *Table) takeDeparted(d *waxwire.Digest, epoch uint64) {
 	own := d.GetFailureDomain() == t.self.FailureDomain()
 	for _, m := range d.GetDeparted() {
-		id, _ := splitMember(m)
-		p, known := t.peers[id]
+		p, known := t.peers[waxlease.ParseMember(m).Instance()]
 		switch {
 		case known && p.instance.FailureDomain() != t.self.FailureDomain():
 			t.elsewhere[m] = true
--- a/waxfleet/waxmember/exchanger.go
+++ b/waxfleet/waxmember/exchanger.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 
 	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxlease"
 	"waxwingdrift.org/waxfleet/waxplace"
 	"waxwingdrift.org/waxfleet/waxwire"
 )
@@ -163,8 +164,7 @@
 func (e *Exchanger) gateway(failureDomain string) bool {
 	ids := []string{e.table.Self().ID()}
 	for _, m := range e.table.LiveMembers() {
-		id, _ := splitMember(m)
-		ids = append(ids, id)
+		ids = append(ids, waxlease.ParseMember(m).Instance())
 	}
 	ranked := waxplace.Rank("gateway/"+failureDomain, ids)
 	return slices.Contains(ranked[:min(len(ranked), gateways)], e.table.Self().ID())
--- a/waxfleet/waxmember/table.go
+++ b/waxfleet/waxmember/table.go
@@ -62,7 +62,9 @@
 	return &peerState{instance: i, heard: never, digestAt: never, acked: never, servers: map[string]*waxwire.BackendState{}}
 }
 
-func (p *peerState) member() string { return p.instance.ID() + "@" + p.incarnation }
+func (p *peerState) member() string {
+	return waxlease.NewMember(p.instance.ID(), p.incarnation).String()
+}
 
 type totalKey struct{ service, failureDomain string }
 
@@ -285,27 +287,22 @@
 func (t *Table) Restarted(member string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	id, incarnation := splitMember(member)
-	p, ok := t.peers[id]
-	return ok && p.incarnation != "" && p.incarnation > incarnation
+	m := waxlease.ParseMember(member)
+	p, ok := t.peers[m.Instance()]
+	return ok && p.incarnation != "" && p.incarnation > m.Incarnation()
 }
 
 func (t *Table) find(member string) *peerState {
-	id, incarnation := splitMember(member)
-	p, ok := t.peers[id]
-	if !ok || p.incarnation != incarnation {
+	m := waxlease.ParseMember(member)
+	p, ok := t.peers[m.Instance()]
+	if !ok || p.incarnation != m.Incarnation() {
 		return nil
 	}
 	return p
 }
 
-func splitMember(member string) (id, incarnation string) {
-	for i := range member {
-		if member[i] == '@' {
-			return member[:i], member[i+1:]
-		}
-	}
-	return member, ""
+func (t *Table) selfMember() string {
+	return waxlease.NewMember(t.self.ID(), t.incarnation).String()
 }
 
 // Depart announces in all later digests that this instance has stopped
@@ -314,7 +311,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.leaving = true
-	t.departed[t.self.ID()+"@"+t.incarnation] = true
+	t.departed[t.selfMember()] = true
 	t.departures++
 }
 
@@ -443,15 +440,6 @@
 	return max(bound-int(s.GetInFlight())-int(s.GetQueued()), 0)
 }
 
-// Refresh takes this instance's own backend states, so that totals are exact
-// for them.
-func (t *Table) Refresh() {
-	states := t.local.BackendStates()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.refresh(states)
-}
-
 func (t *Table) refresh(states []*waxwire.BackendState) {
 	present := map[string]bool{}
 	for _, s := range states {
--- a/waxfleet/waxnode/node.go
+++ b/waxfleet/waxnode/node.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -325,16 +324,16 @@
 // stopped reports proof that the process of a member has ended: a later
 // incarnation, or absence from the instance list after it was listed.
 func (n *Node) stopped(member string) bool {
-	id, incarnation, _ := strings.Cut(member, "@")
-	if id == n.self.ID() {
-		return incarnation < n.incarnation
+	m := waxlease.ParseMember(member)
+	if m.Instance() == n.self.ID() {
+		return m.Incarnation() < n.incarnation
 	}
 	if n.table.Restarted(member) {
 		return true
 	}
 	n.listMu.Lock()
 	defer n.listMu.Unlock()
-	at, ok := n.lastSeen[id]
+	at, ok := n.lastSeen[m.Instance()]
 	return ok && n.listed-at > waxlease.GoneFromList
 }
 
