--- a/waxfleet/code.go
+++ b/waxfleet/code.go
@@ -30,6 +30,8 @@
 	CodeNotAllowed     Code = 1012
 	CodeKeyInFuture    Code = 1013
 	CodeUnknownPath    Code = 1014
+	CodeUnknownRoute   Code = 1015
+	CodeBadRequest     Code = 1016
 
 	CodeOverloaded        Code = 2001
 	CodeDeadlineWouldPass Code = 2002
@@ -41,6 +43,8 @@
 	CodeQueueFull         Code = 2009
 	CodePeerUnreachable   Code = 2010
 	CodeBackendLeaving    Code = 2011
+	CodeConfigStale       Code = 2012
+	CodeStopping          Code = 2013
 
 	CodeOutcomeUnknown   Code = 3001
 	CodeStreamIncomplete Code = 3002
@@ -50,6 +54,7 @@
 	CodeResultNotKept    Code = 3006
 	CodeCancelled        Code = 3007
 	CodeBackendError     Code = 3008
+	CodeTimeout          Code = 3009
 
 	CodeConfigInvalid        Code = 4001
 	CodeConfigConflict       Code = 4002
@@ -64,6 +69,8 @@
 	CodeObjectConflict      Code = 6003
 	CodePlatformRateLimited Code = 6004
 	CodePlatformUnknown     Code = 6005
+	CodeHistoryGone         Code = 6006
+	CodeObjectUnreadable    Code = 6007
 
 	CodeTraceLineInvalid Code = 7001
 	CodeTraceUnreadable  Code = 7002
@@ -93,6 +100,13 @@
 	CodeNotAllowed:           {"not-allowed", http.StatusForbidden, true},
 	CodeKeyInFuture:          {"key-in-future", http.StatusBadRequest, true},
 	CodeUnknownPath:          {"unknown-path", http.StatusNotFound, true},
+	CodeUnknownRoute:         {"unknown-route", http.StatusNotFound, true},
+	CodeBadRequest:           {"bad-request", http.StatusBadRequest, true},
+	CodeConfigStale:          {"config-stale", http.StatusServiceUnavailable, true},
+	CodeStopping:             {"stopping", http.StatusServiceUnavailable, true},
+	CodeTimeout:              {"timeout", http.StatusGatewayTimeout, false},
+	CodeHistoryGone:          {"history-gone", http.StatusGone, true},
+	CodeObjectUnreadable:     {"object-unreadable", http.StatusBadGateway, true},
 	CodeOverloaded:           {"overloaded", http.StatusServiceUnavailable, true},
 	CodeDeadlineWouldPass:    {"deadline-would-pass", http.StatusServiceUnavailable, true},
 	CodeDomainOut:            {"domain-out", http.StatusServiceUnavailable, true},
--- /dev/null
+++ b/waxfleet/waxforward/server.go
@@ -0,0 +1,150 @@
+package waxforward
+
+import (
+	"sync"
+
+	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxdirectory"
+	"waxwingdrift.org/waxfleet/waxpick"
+	"waxwingdrift.org/waxfleet/waxpool"
+	"waxwingdrift.org/waxfleet/waxquota"
+)
+
+// server is what this instance knows of one incarnation of a backend server
+// beyond its entry.
+type server struct {
+	entry    waxfleet.EngineEntry
+	pool     *waxpool.Pool
+	inFlight int
+	cold     waxquota.Bucket
+	health   waxpick.Health
+}
+
+// service is what this instance knows of a service as a whole.
+type service struct {
+	health  waxpick.Health
+	retries waxquota.RetryBudget
+}
+
+// Servers holds the state of all backend servers at this instance. It is safe
+// for concurrent use.
+type Servers struct {
+	clock    *waxfleet.Clock
+	protocol waxfleet.Protocol
+
+	mu       sync.Mutex
+	servers  map[string]*server
+	services map[string]*service
+}
+
+// NewServers returns an empty state.
+func NewServers(clock *waxfleet.Clock, protocol waxfleet.Protocol) *Servers {
+	return &Servers{clock: clock, protocol: protocol, servers: map[string]*server{}, services: map[string]*service{}}
+}
+
+// InFlight returns the own requests in flight by backend server.
+func (s *Servers) InFlight() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]int{}
+	for id, v := range s.servers {
+		if v.inFlight > 0 {
+			out[id] = v.inFlight
+		}
+	}
+	return out
+}
+
+// Keep ends the connections to servers that are no longer in the directory, and
+// closes idle connections whose time is over.
+func (s *Servers) Keep(d *waxdirectory.Directory) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, v := range s.servers {
+		if !d.Known(id, v.entry.Born()) && v.inFlight == 0 {
+			v.pool.End()
+			delete(s.servers, id)
+			continue
+		}
+		v.pool.Sweep()
+	}
+}
+
+// get returns the state of a server; a new incarnation starts anew. The caller
+// holds the lock.
+func (s *Servers) get(e waxfleet.EngineEntry, connections int) *server {
+	id := e.Server().ID()
+	v := s.servers[id]
+	if v != nil && v.entry.Born() == e.Born() && v.entry.Server().Address() == e.Server().Address() {
+		v.entry = e
+		v.pool.SetLimit(connections)
+		return v
+	}
+	if v != nil {
+		v.pool.End()
+	}
+	v = &server{entry: e, pool: waxpool.New(s.clock, s.protocol, e.Server().Address(), connections)}
+	s.servers[id] = v
+	return v
+}
+
+// serviceState returns the state of a service. The caller holds the lock.
+func (s *Servers) serviceState(name string) *service {
+	v := s.services[name]
+	if v == nil {
+		v = &service{}
+		s.services[name] = v
+	}
+	return v
+}
+
+// begin counts a request at a server.
+func (s *Servers) begin(v *server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v.inFlight++
+}
+
+// outcome is how a send ended, for the health of the server.
+type outcome int
+
+const (
+	outcomeOK outcome = iota
+	// outcomeFailed is an answer that did not come, was broken, or is the
+	// server's own failure.
+	outcomeFailed
+	// outcomeUnreachable is a connection that could not be opened.
+	outcomeUnreachable
+	// outcomeNeutral says nothing of the server: the caller left, for example.
+	outcomeNeutral
+)
+
+// end counts the end of a request at a server.
+func (s *Servers) end(v *server, serviceName string, o outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v.inFlight--
+	if o == outcomeNeutral {
+		return
+	}
+	now := s.clock.Now()
+	if o == outcomeUnreachable {
+		v.health.Unreachable(now)
+	}
+	v.health.Record(now, o == outcomeOK)
+	s.serviceState(serviceName).health.Record(now, o == outcomeOK)
+}
+
+// first counts a first send for the retry budget of a service.
+func (s *Servers) first(serviceName string, window waxfleet.Millis) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.serviceState(serviceName).retries.Request(s.clock.Now(), window)
+}
+
+// repeat takes a further send out of the retry budget.
+func (s *Servers) repeat(serviceName string, b waxquota.RetryBound, instances int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.serviceState(serviceName).retries.Repeat(s.clock.Now(), b, instances)
+}
--- /dev/null
+++ b/waxfleet/waxfront/metrics.go
@@ -0,0 +1,36 @@
+package waxfront
+
+import (
+	"context"
+	"net/http"
+
+	"waxwingdrift.org/waxfleet/waxforward"
+	"waxwingdrift.org/waxfleet/waxmetric"
+)
+
+// metrics holds the counters and histograms of the instance.
+type metrics struct {
+	*waxmetric.Metrics
+	handler http.Handler
+}
+
+func newMetrics(ctx context.Context, instance string) *metrics {
+	m := waxmetric.New(ctx, instance)
+	return &metrics{Metrics: m, handler: m.Handler()}
+}
+
+// observe counts the end of a request.
+func (m *metrics) observe(o waxforward.Outcome) {
+	m.Request(o.Kind.String(), o.Code)
+	if o.FirstByte >= 0 {
+		m.FirstByte(o.Kind.String(), o.FirstByte)
+	}
+	m.Total(o.Kind.String(), o.Total)
+	m.Sends(o.Kind.String(), o.Sends)
+}
+
+func (m *metrics) gauges(active int64, servers int, dropped int64) {
+	m.Gauge("requests_active", float64(active))
+	m.Gauge("backend_servers", float64(servers))
+	m.Gauge("log_lines_dropped", float64(dropped))
+}
--- a/waxfleet/waxmetric/metric.go
+++ b/waxfleet/waxmetric/metric.go
@@ -93,3 +93,13 @@
 	}()
 	return provider, nil
 }
+
+// Total records the time from the arrival of a request to its end.
+func (m *Metrics) Total(kind string, d waxfleet.Millis) {
+	m.scope.Tagged(map[string]string{"tier": kind}).Histogram("request", firstByteBounds).RecordDuration(d.Duration())
+}
+
+// Sends counts the servers that a request was sent to.
+func (m *Metrics) Sends(kind string, n int) {
+	m.scope.Tagged(map[string]string{"tier": kind}).Counter("sends").Inc(int64(n))
+}
