--- a/waxfleet/waxdirectory/directory.go
+++ b/waxfleet/waxdirectory/directory.go
@@ -23,8 +23,7 @@
 	revision  uint64
 	coldUntil waxfleet.Millis
 	// missing is true when the entry vanished during a store outage.
-	missing      bool
-	missingUntil waxfleet.Millis
+	missing bool
 }
 
 // Entry returns what the server says of itself.
@@ -179,7 +178,7 @@
 		if s.missing {
 			return changes
 		}
-		s.missing, s.missingUntil = true, d.storeBack+returnGrace
+		s.missing = true
 		change.What = ChangeMissing
 		return append(changes, change)
 	}
@@ -193,9 +192,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var changes []Change
-	now := d.clock.Now()
+	if d.storeLost || d.clock.Now() < d.storeBack+returnGrace {
+		return nil
+	}
 	for id, s := range d.servers {
-		if s.missing && !d.storeLost && now >= s.missingUntil {
+		if s.missing {
 			delete(d.servers, id)
 			changes = append(changes, Change{Server: s.entry.Server(), What: ChangeRemoved, Revision: s.revision})
 		}
--- /dev/null
+++ b/waxfleet/waxdirectory/directory_test.go
@@ -0,0 +1,124 @@
+package waxdirectory
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"waxwingdrift.org/waxfleet"
+)
+
+// TestDirectory runs scripts of what the store says of backend servers. They
+// guard against work for servers that leave, are cold, were replaced or taken
+// out, and against a fleet without servers because the store was away.
+func TestDirectory(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		clock := waxfleet.NewManualClock(1_000_000)
+		d := New(clock)
+		revision := uint64(0)
+		records := func(input string) []waxfleet.Record[waxfleet.EngineEntry] {
+			var out []waxfleet.Record[waxfleet.EngineEntry]
+			for _, line := range strings.Split(strings.TrimSpace(input), "\n") {
+				if line == "" {
+					continue
+				}
+				revision++
+				out = append(out, record(t, line, revision))
+			}
+			return out
+		}
+		datadriven.RunTest(t, path, func(t *testing.T, td *datadriven.TestData) string {
+			switch td.Cmd {
+			case "list":
+				return changesText(d.ApplyList(records(td.Input)))
+			case "changes":
+				return changesText(d.ApplyChanges(records(td.Input)))
+			case "store-lost":
+				d.StoreLost()
+			case "store-regained":
+				d.StoreRegained()
+			case "sweep":
+				return changesText(d.Sweep())
+			case "advance":
+				var ms int
+				td.ScanArgs(t, "ms", &ms)
+				clock.Advance(waxfleet.Millis(ms))
+			case "evacuate":
+				domains := map[string]bool{}
+				for _, a := range td.CmdArgs {
+					domains[a.Key] = true
+				}
+				out, back := d.Evacuate(domains)
+				return fmt.Sprintf("out %v back %v\n", out, back)
+			case "servers":
+				return serversText(d, clock.Now())
+			default:
+				t.Fatalf("unknown command %s", td.Cmd)
+			}
+			return ""
+		})
+	})
+}
+
+// record reads "id state cold=ms born=n domain=name", "id deleted" or
+// "id unreadable".
+func record(t *testing.T, line string, revision uint64) waxfleet.Record[waxfleet.EngineEntry] {
+	t.Helper()
+	f := strings.Fields(line)
+	r := waxfleet.Record[waxfleet.EngineEntry]{Name: f[0], Revision: revision, Readable: true}
+	switch f[1] {
+	case "deleted":
+		r.Deleted, r.Readable = true, false
+		return r
+	case "unreadable":
+		r.Readable = false
+		return r
+	}
+	cold, born, domain := 0, int64(1), "caerdydd"
+	for _, arg := range f[2:] {
+		name, value, _ := strings.Cut(arg, "=")
+		switch name {
+		case "cold":
+			if _, err := fmt.Sscan(value, &cold); err != nil {
+				t.Fatal(err)
+			}
+		case "born":
+			if _, err := fmt.Sscan(value, &born); err != nil {
+				t.Fatal(err)
+			}
+		case "domain":
+			domain = value
+		}
+	}
+	server := waxfleet.NewBackendServer(f[0], "geiriau", domain, "127.0.0.1:1", waxfleet.State(f[1]))
+	r.Value = waxfleet.NewEngineEntry(server, 64, waxfleet.Millis(cold), born)
+	return r
+}
+
+func changesText(changes []Change) string {
+	lines := make([]string, 0, len(changes))
+	for _, c := range changes {
+		lines = append(lines, c.Server.ID()+" "+c.What)
+	}
+	slices.Sort(lines)
+	return strings.Join(append(lines, ""), "\n")
+}
+
+func serversText(d *Directory, now waxfleet.Millis) string {
+	var lines []string
+	for _, s := range d.Servers("geiriau") {
+		line := s.ID()
+		if s.Cold(now) {
+			line += " cold"
+		}
+		if s.Missing() {
+			line += " missing"
+		}
+		lines = append(lines, line)
+	}
+	slices.Sort(lines)
+	return strings.Join(append(lines, ""), "\n")
+}
--- a/waxfleet/waxfront/front.go
+++ b/waxfleet/waxfront/front.go
@@ -45,6 +45,14 @@
 	maxHeader = 64 << 10
 )
 
+// Names of the followed feeds, in logs and for Revision.
+const (
+	FeedConfig      = "configuration"
+	FeedServers     = "backend-servers"
+	FeedEvacuations = "evacuations"
+	FeedPeers       = "instances"
+)
+
 // Store gives access to the platform's store.
 type Store interface {
 	Configurations() waxfleet.Feed[*waxtable.Table]
@@ -85,6 +93,8 @@
 	mu        sync.Mutex
 	instances []string
 	ready     bool
+	// reached holds the store's revision of each followed feed.
+	reached map[string]uint64
 
 	stopAt   atomic.Int64
 	refusals atomic.Int64
@@ -93,7 +103,7 @@
 // New opens the addresses and runs the instance until ctx ends.
 func New(ctx context.Context, opts Options) (*Front, error) {
 	s := opts.Settings
-	f := &Front{opts: opts, log: opts.Log, proof: waxfresh.NewProof(opts.Clock, s.Bounds.Revocation), instances: []string{s.Instance}}
+	f := &Front{opts: opts, log: opts.Log, proof: waxfresh.NewProof(opts.Clock, s.Bounds.Revocation), instances: []string{s.Instance}, reached: map[string]uint64{}}
 	f.bounds.Store(&s.Bounds)
 	f.directory = waxdirectory.New(opts.Clock)
 	f.servers = waxforward.NewServers(opts.Clock, opts.Protocol)
@@ -200,6 +210,20 @@
 	return f.instances
 }
 
+// reach notes the store's revision that a feed has reached.
+func (f *Front) reach(feed string, revision uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reached[feed] = revision
+}
+
+// Revision returns the store's revision that a followed feed has reached.
+func (f *Front) Revision(feed string) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reached[feed]
+}
+
 func (f *Front) forwardBounds() waxforward.Bounds {
 	b := f.bounds.Load()
 	return waxforward.Bounds{
@@ -257,29 +281,26 @@
 func (f *Front) follow(ctx context.Context) {
 	store, clock := f.opts.Store, f.opts.Clock
 	waxfollow.New(ctx, store.Configurations(), waxfollow.Options[*waxtable.Table]{
-		Name: "configuration", Clock: clock, Log: f.log, Wait: configWait, Apply: f.applyConfig,
+		Name: FeedConfig, Clock: clock, Log: f.log, Wait: configWait, Apply: f.applyConfig,
 	})
 	waxfollow.New(ctx, store.BackendServers(), waxfollow.Options[waxfleet.EngineEntry]{
-		Name: "backend-servers", Clock: clock, Log: f.log, Wait: serversWait, Apply: f.applyServers,
+		Name: FeedServers, Clock: clock, Log: f.log, Wait: serversWait, Apply: f.applyServers,
 		Lost: func(error) { f.directory.StoreLost() }, Regained: f.directory.StoreRegained,
 	})
 	waxfollow.New(ctx, store.Evacuations(), waxfollow.Options[waxfleet.Evacuation]{
-		Name: "evacuations", Clock: clock, Log: f.log, Wait: evacuationsWait, Apply: f.evacuations(),
+		Name: FeedEvacuations, Clock: clock, Log: f.log, Wait: evacuationsWait, Apply: f.evacuations(),
 	})
 	waxfollow.New[waxfleet.PeerEntry](ctx, store.Peers(), waxfollow.Options[waxfleet.PeerEntry]{
-		Name: "instances", Clock: clock, Log: f.log, Wait: peersWait, Apply: f.peers(),
+		Name: FeedPeers, Clock: clock, Log: f.log, Wait: peersWait, Apply: f.peers(),
 	})
 }
 
 // applyConfig puts a configuration in force; versions only rise.
 func (f *Front) applyConfig(u waxfollow.Update[*waxtable.Table]) {
-	confirmed := true
+	defer f.reach(FeedConfig, u.Revision)
 	for _, r := range u.Records {
-		if r.Deleted {
-			continue
-		}
-		if !r.Readable {
-			confirmed = false
+		if r.Deleted || !r.Readable {
+			// The last good configuration stays in force.
 			continue
 		}
 		old := f.table.Load()
@@ -290,12 +311,11 @@
 		f.log.Info("configuration in force", "config-version", r.Value.Version(), "revision", r.Revision,
 			"services", r.Value.Services(), "read-age-ms", int64(f.opts.Clock.Now()-u.Sent))
 	}
-	if confirmed {
-		f.proof.Confirm(u.Sent)
-	}
+	f.proof.Confirm(u.Sent)
 }
 
 func (f *Front) applyServers(u waxfollow.Update[waxfleet.EngineEntry]) {
+	defer f.reach(FeedServers, u.Revision)
 	if u.Full {
 		f.logServers(f.directory.ApplyList(u.Records), "list")
 		return
@@ -315,6 +335,7 @@
 func (f *Front) evacuations() func(waxfollow.Update[waxfleet.Evacuation]) {
 	current := map[string]bool{}
 	return func(u waxfollow.Update[waxfleet.Evacuation]) {
+		defer f.reach(FeedEvacuations, u.Revision)
 		if !u.Full && len(u.Records) == 0 {
 			return
 		}
