waxcache, waxpick: place prompts by what engines hold and how long they make wait

Change: instances remember and tell each other which engines hold which shared parts; the choice is the least waiting, where reading counts as waiting; small prompts leave busy engines first; engines fetch missing parts from a holder.

--- a/waxfleet/exchange.go
+++ b/waxfleet/exchange.go
@@ -50,6 +50,9 @@
 	Urgency int
 	// ResumeAfter is the id of the last event that the caller has, -1 without.
 	ResumeAfter int64
+	// CacheSource is "ip:port" of an engine that holds more of the prompt; empty
+	// for none.
+	CacheSource string
 }
 
 // ServerLoad is what a backend server says of its load in an answer.
--- /dev/null
+++ b/waxfleet/waxcache/holders.go
@@ -0,0 +1,215 @@
+// Package waxcache remembers which engines hold which parts of prompts, from the
+// requests that this instance has sent and from what other instances tell. It
+// does no I/O.
+package waxcache
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"waxwingdrift.org/waxfleet"
+)
+
+const (
+	// maxParts bounds the remembered parts; the least recently used go first. An
+	// entry has about 100 bytes.
+	maxParts = 20_000
+	// maxHolders bounds the engines remembered for one part.
+	maxHolders = 16
+	// tellings is the number of datagrams that carry a new holding, so that a few
+	// lost ones do no harm.
+	tellings = 3
+)
+
+// Holding says that an engine holds a part of a prompt.
+type Holding struct {
+	// Part is the hash of the part and all parts before it.
+	Part uint64
+	// Server is the hash of the engine's incarnation.
+	Server uint32
+}
+
+// Key is a prompt's shared parts in order, each hashed with those before it.
+type Key struct {
+	parts  []uint64
+	tokens []int
+}
+
+// NewKey returns the key of a prompt. The last part belongs to the request alone
+// and is left out.
+func NewKey(parts []waxfleet.PromptPart) Key {
+	var k Key
+	d := xxhash.New()
+	for i := 0; i+1 < len(parts); i++ {
+		_, _ = d.WriteString(parts[i].ID)
+		_, _ = d.WriteString("\x00")
+		k.parts = append(k.parts, d.Sum64())
+		k.tokens = append(k.tokens, parts[i].Tokens)
+	}
+	return k
+}
+
+// Empty reports whether the prompt has no shared part.
+func (k Key) Empty() bool { return len(k.parts) == 0 }
+
+// Tokens returns the tokens of the shared parts.
+func (k Key) Tokens() int {
+	n := 0
+	for _, t := range k.tokens {
+		n += t
+	}
+	return n
+}
+
+// Whole returns the hash of all shared parts.
+func (k Key) Whole() uint64 {
+	if k.Empty() {
+		return 0
+	}
+	return k.parts[len(k.parts)-1]
+}
+
+// ServerHash returns the hash of an incarnation of an engine.
+func ServerHash(id string, born int64) uint32 {
+	var b [8]byte
+	for i := range b {
+		b[i] = byte(born >> (8 * i))
+	}
+	return uint32(xxhash.Sum64(append([]byte(id), b[:]...)))
+}
+
+// Holders is the table of holdings. It is safe for concurrent use.
+type Holders struct {
+	mu    sync.Mutex
+	parts *lru.Cache[uint64, []uint32]
+	news  []news
+}
+
+// news is a holding that other instances have to be told.
+type news struct {
+	holding Holding
+	left    int
+}
+
+// NewHolders returns an empty table.
+func NewHolders() *Holders {
+	parts, err := lru.New[uint64, []uint32](maxParts)
+	if err != nil {
+		panic(err) // unreachable: the size is positive
+	}
+	return &Holders{parts: parts}
+}
+
+// Held returns the tokens of the prompt's beginning that each engine holds, by
+// the hash of its incarnation.
+func (h *Holders) Held(k Key) map[uint32]int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := map[uint32]int{}
+	for i, part := range k.parts {
+		servers, ok := h.parts.Get(part)
+		if !ok {
+			break
+		}
+		before := 0
+		for _, t := range k.tokens[:i] {
+			before += t
+		}
+		for _, s := range servers {
+			if out[s] == before {
+				out[s] = before + k.tokens[i]
+			}
+		}
+	}
+	return out
+}
+
+// Sent notes that the prompt was sent to an engine, which holds its shared parts
+// from then on. It reports whether that is news for other instances.
+func (h *Holders) Sent(k Key, server uint32) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	isNews := false
+	for _, part := range k.parts {
+		if h.add(Holding{Part: part, Server: server}) {
+			h.news = append(h.news, news{holding: Holding{Part: part, Server: server}, left: tellings})
+			isNews = true
+		}
+	}
+	return isNews
+}
+
+// Told notes a holding that another instance tells.
+func (h *Holders) Told(holding Holding) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.add(holding)
+}
+
+// add reports whether the holding was unknown.
+func (h *Holders) add(holding Holding) bool {
+	servers, _ := h.parts.Get(holding.Part)
+	if slices.Contains(servers, holding.Server) {
+		return false
+	}
+	if len(servers) >= maxHolders {
+		servers = servers[1:]
+	}
+	h.parts.Add(holding.Part, append(slices.Clone(servers), holding.Server))
+	return true
+}
+
+// Lost drops the holdings of an engine's incarnation that has ended.
+func (h *Holders) Lost(server uint32) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, part := range h.parts.Keys() {
+		servers, ok := h.parts.Peek(part)
+		if !ok || !slices.Contains(servers, server) {
+			continue
+		}
+		rest := slices.DeleteFunc(slices.Clone(servers), func(s uint32) bool { return s == server })
+		if len(rest) == 0 {
+			h.parts.Remove(part)
+			continue
+		}
+		h.parts.Add(part, rest)
+	}
+}
+
+// News returns at most limit holdings for the next datagram.
+func (h *Holders) News(limit int) []Holding {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := min(limit, len(h.news))
+	out := make([]Holding, 0, n)
+	kept := make([]news, 0, len(h.news))
+	for i, v := range h.news {
+		if i < n {
+			out = append(out, v.holding)
+			v.left--
+		}
+		if v.left > 0 {
+			kept = append(kept, v)
+		}
+	}
+	h.news = kept
+	return out
+}
+
+// All returns every holding, for an instance that has just started.
+func (h *Holders) All() []Holding {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []Holding
+	for _, part := range h.parts.Keys() {
+		servers, _ := h.parts.Peek(part)
+		for _, s := range servers {
+			out = append(out, Holding{Part: part, Server: s})
+		}
+	}
+	return out
+}
--- a/waxfleet/waxdirectory/directory.go
+++ b/waxfleet/waxdirectory/directory.go
@@ -265,3 +265,12 @@
 	s := d.servers[id]
 	return s != nil && s.entry.Born() == born
 }
+
+// InService reports whether the incarnation is in the directory and its failure
+// domain is not taken out. It may be leaving.
+func (d *Directory) InService(id string, born int64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.servers[id]
+	return s != nil && s.entry.Born() == born && !s.missing && !d.evacuated[s.entry.Server().FailureDomain()]
+}
--- a/waxfleet/waxforward/forwarder.go
+++ b/waxfleet/waxforward/forwarder.go
@@ -13,10 +13,10 @@
 	"sync/atomic"
 
 	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxcache"
 	"waxwingdrift.org/waxfleet/waxdirectory"
 	"waxwingdrift.org/waxfleet/waxfresh"
 	"waxwingdrift.org/waxfleet/waxpeer"
-	"waxwingdrift.org/waxfleet/waxpick"
 	"waxwingdrift.org/waxfleet/waxtable"
 )
 
@@ -41,8 +41,11 @@
 	Protocol      waxfleet.Protocol
 	Directory     *waxdirectory.Directory
 	Loads         *waxpeer.Loads
-	Proof         *waxfresh.Proof
-	Servers       *Servers
+	Holders       *waxcache.Holders
+	// News is called when other instances should learn of new holdings.
+	News    func()
+	Proof   *waxfresh.Proof
+	Servers *Servers
 	// Table returns the configuration in force, or nil before the first one.
 	Table func() *waxtable.Table
 	// Bounds returns the figures in force.
@@ -94,13 +97,17 @@
 	host      string
 	body      []byte
 	hasBody   bool
-	prompt    waxpick.Prompt
+	key       waxcache.Key
 	tried     map[string]bool
 	sends     int
 	runs      int
 	// server is the last server that the call was sent to.
 	server string
-	sink   *sink
+	// source is the address of an engine that hands over parts of the prompt.
+	source string
+	// pending is the number of tokens that the chosen engine has to read.
+	pending int
+	sink    *sink
 }
 
 // ServeHTTP serves one request of a caller.
@@ -142,7 +149,7 @@
 		return err
 	}
 	c.service = waxtable.ServiceOf(route, c.in.ID)
-	c.prompt = waxpick.NewPrompt(c.in.Parts)
+	c.key = waxcache.NewKey(c.in.Parts)
 	patience := defaultPatience
 	if c.in.Patience > 0 {
 		patience = c.in.Patience
--- a/waxfleet/waxforward/place.go
+++ b/waxfleet/waxforward/place.go
@@ -3,6 +3,7 @@
 import (
 	"waxwingdrift.org/waxfleet"
 	"waxwingdrift.org/waxfleet/waxdirectory"
+	"waxwingdrift.org/waxfleet/waxpeer"
 	"waxwingdrift.org/waxfleet/waxpick"
 	"waxwingdrift.org/waxfleet/waxquota"
 )
@@ -29,16 +30,23 @@
 	f.servers.mu.Lock()
 	defer f.servers.mu.Unlock()
 	whole := f.servers.serviceState(c.service)
+	counts := f.opts.Loads.Counts()
+	held := f.opts.Holders.Held(c.key)
 	known := make(map[string]*server, len(listed))
 	candidates := make([]waxpick.Candidate, 0, len(listed))
 	for _, d := range listed {
 		v := f.servers.get(d.Entry(), connections)
 		known[d.ID()] = v
-		candidates = append(candidates, f.candidate(d, v, whole, contract, instances, now))
+		one := f.candidate(d, v, whole, contract, instances, now)
+		others := counts[waxpeer.ServerHash(d.ID())]
+		one.Load = v.inFlight + others.InFlight
+		one.Pending = v.pending + others.Pending
+		one.Held = held[v.hash]
+		candidates = append(candidates, one)
 	}
 	var choice waxpick.Choice
-	if contract.CacheTokens > 0 || !c.prompt.Empty() {
-		choice = waxpick.ForPrompt(c.prompt, candidates, c.tried)
+	if contract.CacheTokens > 0 || !c.key.Empty() {
+		choice = waxpick.ForPrompt(waxpick.Prompt{Hash: c.key.Whole(), Shared: c.key.Tokens()}, candidates, c.tried)
 	} else {
 		choice = waxpick.ForCall(f.opts.FailureDomain, c.in.ID, candidates, c.tried)
 	}
@@ -51,15 +59,42 @@
 		v.cold.Take(now, rate, burst)
 	}
 	v.inFlight++
+	c.source = f.source(c, v, held)
+	c.pending = max(0, c.in.PromptTokens-held[v.hash])
+	v.pending += c.pending
+	if f.opts.Holders.Sent(c.key, v.hash) {
+		f.opts.News()
+	}
 	return v, choice
 }
 
+// leastFetch is the number of tokens from which fetching them from another
+// engine takes less than reading them.
+const leastFetch = 256
+
+// source returns the address of an engine that holds clearly more of the prompt
+// than the chosen one, or "". Leaving engines hand over what they hold; engines of
+// failure domains that are out, and those that are down, do not. The caller holds
+// the lock.
+func (f *Forwarder) source(c *call, chosen *server, held map[uint32]int) string {
+	best, most := "", held[chosen.hash]+leastFetch
+	for id, v := range f.servers.servers {
+		if v == chosen || held[v.hash] < most || v.health.Down(f.opts.Clock.Now()) || !f.opts.Directory.InService(id, v.entry.Born()) {
+			continue
+		}
+		if held[v.hash] > most || best == "" || v.entry.Server().FailureDomain() == chosen.entry.Server().FailureDomain() {
+			best, most = v.entry.Server().Address(), held[v.hash]
+		}
+	}
+	return best
+}
+
 func (f *Forwarder) candidate(d waxdirectory.Server, v *server, whole *service, contract waxfleet.ServiceContract, instances []string, now waxfleet.Millis) waxpick.Candidate {
 	c := waxpick.Candidate{
 		ID: d.ID(), FailureDomain: d.Entry().Server().FailureDomain(),
-		Load: v.inFlight + f.opts.Loads.InFlight(d.ID()), Slots: d.Entry().Slots(),
-		Cold: d.Cold(now) && contract.ColdPerSecond > 0,
-		Down: v.health.Down(now), Doubtful: d.Missing() || v.health.Doubtful(now, &whole.health),
+		Slots: d.Entry().Slots(),
+		Cold:  d.Cold(now) && contract.ColdPerSecond > 0,
+		Down:  v.health.Down(now), Doubtful: d.Missing() || v.health.Doubtful(now, &whole.health),
 	}
 	if c.Cold {
 		rate, burst := f.coldShare(contract, d.ID(), instances)
--- a/waxfleet/waxforward/run.go
+++ b/waxfleet/waxforward/run.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"waxwingdrift.org/waxfleet"
@@ -68,7 +69,7 @@
 		c.tried[id], c.server = true, id
 		heard, age := f.opts.Loads.Heard()
 		f.opts.Log.Info("placed", "request", c.in.ID, "server", id, "reason", string(choice.Reason), "send", c.sends+1,
-			"load", choice.Load, "mean", round(choice.Mean), "limit", choice.Limit, "peers", heard, "peer-age-ms", int64(age),
+			"load", choice.Load, "pending-tokens", c.pending, "shared-tokens", c.key.Tokens(), "source", c.source, "mean", round(choice.Mean), "limit", choice.Limit, "peers", heard, "peer-age-ms", int64(age),
 			"config-version", c.table.Version())
 		res, err := f.send(ctx, c, v)
 		f.servers.end(v, c.service, healthOf(res, err))
@@ -188,6 +189,9 @@
 
 // send offers the request to one server.
 func (f *Forwarder) send(ctx context.Context, c *call, v *server) (result, error) {
+	var begun sync.Once
+	begin := func() { begun.Do(func() { f.servers.answered(v, c.pending) }) }
+	defer begin()
 	conn, err := v.pool.Get(ctx)
 	if err != nil {
 		return resultNotSent, err
@@ -223,6 +227,7 @@
 	if timer != nil {
 		timer.Stop()
 	}
+	begin()
 	if answer.Head.NotRun || answer.Head.WrongServer {
 		c.runs--
 		f.drop(conn, answer)
@@ -255,7 +260,7 @@
 func (f *Forwarder) request(c *call, id string) waxpool.Request {
 	out := waxfleet.Outbound{
 		Server: id, Remaining: max(c.deadline-f.opts.Clock.Now(), 1), Workspace: c.workspace.Name, Urgency: -1,
-		ResumeAfter: c.in.ResumeAfter,
+		ResumeAfter: c.in.ResumeAfter, CacheSource: c.source,
 	}
 	if c.route.Kind() == waxfleet.KindStream {
 		out.Urgency = min(max(waxtable.Priority(c.route, c.workspace), 0), 9)
--- a/waxfleet/waxforward/server.go
+++ b/waxfleet/waxforward/server.go
@@ -4,7 +4,9 @@
 	"sync"
 
 	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxcache"
 	"waxwingdrift.org/waxfleet/waxdirectory"
+	"waxwingdrift.org/waxfleet/waxpeer"
 	"waxwingdrift.org/waxfleet/waxpick"
 	"waxwingdrift.org/waxfleet/waxpool"
 	"waxwingdrift.org/waxfleet/waxquota"
@@ -13,11 +15,16 @@
 // server is what this instance knows of one incarnation of a backend server
 // beyond its entry.
 type server struct {
-	entry    waxfleet.EngineEntry
-	pool     *waxpool.Pool
+	entry waxfleet.EngineEntry
+	pool  *waxpool.Pool
+	// hash stands for the incarnation in the table of holders.
+	hash     uint32
 	inFlight int
-	cold     waxquota.Bucket
-	health   waxpick.Health
+	// pending is the number of prompt tokens of requests whose answers have not
+	// begun.
+	pending int
+	cold    waxquota.Bucket
+	health  waxpick.Health
 }
 
 // service is what this instance knows of a service as a whole.
@@ -42,14 +49,14 @@
 	return &Servers{clock: clock, protocol: protocol, servers: map[string]*server{}, services: map[string]*service{}}
 }
 
-// InFlight returns the own requests in flight by backend server.
-func (s *Servers) InFlight() map[string]int {
+// Counts returns the own counts by backend server.
+func (s *Servers) Counts() map[string]waxpeer.Count {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := map[string]int{}
+	out := map[string]waxpeer.Count{}
 	for id, v := range s.servers {
 		if v.inFlight > 0 {
-			out[id] = v.inFlight
+			out[id] = waxpeer.Count{InFlight: v.inFlight, Pending: v.pending}
 		}
 	}
 	return out
@@ -57,12 +64,13 @@
 
 // Keep ends the connections to servers that are no longer in the directory, and
 // closes idle connections whose time is over.
-func (s *Servers) Keep(d *waxdirectory.Directory) {
+func (s *Servers) Keep(d *waxdirectory.Directory, holders *waxcache.Holders) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, v := range s.servers {
 		if !d.Known(id, v.entry.Born()) && v.inFlight == 0 {
 			v.pool.End()
+			holders.Lost(v.hash)
 			delete(s.servers, id)
 			continue
 		}
@@ -83,7 +91,7 @@
 	if v != nil {
 		v.pool.End()
 	}
-	v = &server{entry: e, pool: waxpool.New(s.clock, s.protocol, e.Server().Address(), connections)}
+	v = &server{entry: e, hash: waxcache.ServerHash(id, e.Born()), pool: waxpool.New(s.clock, s.protocol, e.Server().Address(), connections)}
 	s.servers[id] = v
 	return v
 }
@@ -98,11 +106,12 @@
 	return v
 }
 
-// begin counts a request at a server.
-func (s *Servers) begin(v *server) {
+// answered notes that the answer to a prompt of so many tokens has begun, or that
+// none will come.
+func (s *Servers) answered(v *server, tokens int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	v.inFlight++
+	v.pending -= tokens
 }
 
 // outcome is how a send ended, for the health of the server.
--- a/waxfleet/waxfront/front.go
+++ b/waxfleet/waxfront/front.go
@@ -15,6 +15,7 @@
 	"github.com/labstack/echo/v4"
 
 	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxcache"
 	"waxwingdrift.org/waxfleet/waxdirectory"
 	"waxwingdrift.org/waxfleet/waxfollow"
 	"waxwingdrift.org/waxfleet/waxforward"
@@ -85,6 +86,7 @@
 	directory *waxdirectory.Directory
 	servers   *waxforward.Servers
 	loads     *waxpeer.Loads
+	holders   *waxcache.Holders
 	exchanger *waxpeer.Exchanger
 	forwarder *waxforward.Forwarder
 	metrics   *metrics
@@ -108,15 +110,16 @@
 	f.directory = waxdirectory.New(opts.Clock)
 	f.servers = waxforward.NewServers(opts.Clock, opts.Protocol)
 	f.loads = waxpeer.NewLoads(opts.Clock)
+	f.holders = waxcache.NewHolders()
 	f.metrics = newMetrics(ctx, s.Instance)
 	f.forwarder = waxforward.New(waxforward.Options{
 		Instance: s.Instance, FailureDomain: s.FailureDomain, Clock: opts.Clock, Log: opts.Log, Protocol: opts.Protocol,
-		Directory: f.directory, Loads: f.loads, Proof: f.proof, Servers: f.servers, Table: f.table.Load,
+		Directory: f.directory, Loads: f.loads, Holders: f.holders, News: func() { f.exchanger.News() }, Proof: f.proof, Servers: f.servers, Table: f.table.Load,
 		Bounds: f.forwardBounds, Instances: f.Instances, Stopping: f.stopping, Observe: f.metrics.observe,
 	})
 	var err error
 	f.exchanger, err = waxpeer.NewExchanger(ctx, f.loads, waxpeer.Options{
-		Instance: s.Instance, Address: f.peerAddress(), Clock: opts.Clock, Log: opts.Log, InFlight: f.servers.InFlight,
+		Instance: s.Instance, Address: f.peerAddress(), Clock: opts.Clock, Log: opts.Log, Counts: f.servers.Counts, Holders: f.holders,
 	})
 	if err != nil {
 		return nil, err
@@ -244,7 +247,7 @@
 func (f *Front) sweep(ctx context.Context) {
 	for f.opts.Clock.Sleep(ctx, sweepInterval) == nil {
 		f.logServers(f.directory.Sweep(), "missing after the outage of the store")
-		f.servers.Keep(f.directory)
+		f.servers.Keep(f.directory, f.holders)
 		f.metrics.gauges(f.forwarder.Active(), f.directory.Count(), f.opts.DroppedLogs())
 	}
 }
--- a/waxfleet/waxpeer/loads.go
+++ b/waxfleet/waxpeer/loads.go
@@ -18,16 +18,24 @@
 // HashOf returns the hash under which a name stands in datagrams.
 func HashOf(name string) uint64 { return xxhash.Sum64String(name) }
 
-// serverHash returns the short hash of a backend server's name. Two servers with
+// ServerHash returns the short hash of a backend server's name. Two servers with
 // one hash would count each other's load, which is harmless.
-func serverHash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+func ServerHash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
 // report is the last datagram of one instance.
 type report struct {
 	incarnation int64
 	sequence    uint64
 	at          waxfleet.Millis
-	inFlight    map[uint32]int
+	counts      map[uint32]Count
+}
+
+// Count is what an instance has at one backend server.
+type Count struct {
+	// InFlight is the number of its requests there.
+	InFlight int
+	// Pending is the number of prompt tokens of those whose answers have not begun.
+	Pending int
 }
 
 // Loads holds the counts of all other instances. It is safe for concurrent use.
@@ -43,8 +51,9 @@
 	return &Loads{clock: clock, reports: map[uint64]report{}}
 }
 
-// Take applies a datagram and reports whether it was newer than the last one.
-func (l *Loads) Take(d *waxwire.LoadDatagram) bool {
+// Take applies the counts of a datagram and reports whether its sender is a new
+// incarnation.
+func (l *Loads) Take(d *waxwire.LoadDatagram) (started bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	old, known := l.reports[d.GetInstance()]
@@ -54,29 +63,40 @@
 	}
 	r := report{
 		incarnation: d.GetIncarnation(), sequence: d.GetSequence(), at: l.clock.Now(),
-		inFlight: make(map[uint32]int, len(d.GetServers())),
+		counts: make(map[uint32]Count, len(d.GetServers())),
 	}
 	for i, server := range d.GetServers() {
+		var c Count
 		if i < len(d.GetInFlight()) {
-			r.inFlight[server] = int(d.GetInFlight()[i])
+			c.InFlight = int(d.GetInFlight()[i])
 		}
+		if i < len(d.GetPendingTokens()) {
+			c.Pending = int(d.GetPendingTokens()[i])
+		}
+		r.counts[server] = c
 	}
 	l.reports[d.GetInstance()] = r
-	return true
+	return !known || old.incarnation != r.incarnation
 }
 
-// InFlight returns the requests in flight at a backend server from all other
-// instances that were heard lately.
-func (l *Loads) InFlight(id string) int {
+// Counts returns what all other instances that were heard lately have at the
+// backend servers, by the hash of their names.
+func (l *Loads) Counts() map[uint32]Count {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	hash, now, n := serverHash(id), l.clock.Now(), 0
+	now, out := l.clock.Now(), map[uint32]Count{}
 	for _, r := range l.reports {
-		if now-r.at < silence {
-			n += r.inFlight[hash]
+		if now-r.at >= silence {
+			continue
+		}
+		for server, c := range r.counts {
+			sum := out[server]
+			sum.InFlight += c.InFlight
+			sum.Pending += c.Pending
+			out[server] = sum
 		}
 	}
-	return n
+	return out
 }
 
 // Heard returns the number of instances that were heard lately, and the age of
--- a/waxfleet/waxpick/pick.go
+++ b/waxfleet/waxpick/pick.go
@@ -6,8 +6,6 @@
 	"math"
 
 	"github.com/cespare/xxhash/v2"
-
-	"waxwingdrift.org/waxfleet"
 )
 
 // Candidate is a backend server as the decision sees it.
@@ -18,6 +16,11 @@
 	Load int
 	// Slots is the number of requests that the server processes at once.
 	Slots int
+	// Pending is the number of prompt tokens sent to the server whose answers have
+	// not begun.
+	Pending int
+	// Held is the number of the prompt's shared tokens that the server holds.
+	Held int
 	// Cold servers get work only while Paced is true.
 	Cold  bool
 	Paced bool
@@ -32,10 +35,13 @@
 
 // Reasons of a choice.
 const (
-	// ReasonHome is the first choice for the prompt, whose parts it holds.
-	ReasonHome Reason = "home"
-	// ReasonSpill is a further choice because the ones before are full or cold.
-	ReasonSpill Reason = "spill"
+	// ReasonHolder is an engine that holds the prompt's shared parts.
+	ReasonHolder Reason = "holder"
+	// ReasonReader is an engine that has to read or fetch shared parts, because none
+	// holds them or those that do are busier.
+	ReasonReader Reason = "reader"
+	// ReasonLeast is the least loaded engine when all are above the load limit.
+	ReasonLeast Reason = "least-loaded"
 	// ReasonNear is the least loaded server, with the own failure domain preferred.
 	ReasonNear Reason = "near"
 	// ReasonDoubtful is a server that may be gone; no other one is left.
@@ -62,15 +68,30 @@
 func (c Choice) Found() bool { return c.ID != "" }
 
 const (
-	// spreadFactor and spreadSlack set the load at which a prompt's home is passed
-	// over: spreadFactor x mean + spreadSlack requests. They lie below the bound
-	// of twice the mean and three that the users set, because counts of other
-	// instances arrive late.
-	spreadFactor = 1.5
-	spreadSlack  = 2.0
-	// groupSize is the number of servers that share the prompts with one leading
-	// part, so that few servers read it.
-	groupSize = 5
+	// loadFactor and loadSlack set the load up to which an engine gets a request:
+	// loadFactor x mean + loadSlack. They lie below the bound of twice the mean and
+	// three that the users set, because counts of other instances arrive late.
+	loadFactor = 1.8
+	loadSlack  = 2.0
+	// smallFactor and smallSlack do so for prompts with few shared tokens. They go
+	// elsewhere first, which costs little reading, and leave the places of busy
+	// engines to prompts that are dear to read again.
+	smallFactor = 1.4
+	smallSlack  = 1.5
+	// smallPrompt is the number of shared tokens below which a prompt counts as
+	// small.
+	smallPrompt = 1_000
+	// readWeight is how many tokens of waiting one token read again is worth:
+	// reading takes time from all requests of the engine.
+	readWeight = 1.5
+	// fetchWeight replaces it for tokens that another engine can hand over.
+	fetchWeight = 0.6
+	// rankStep is the waiting, in tokens, that is accepted for each place that an
+	// engine comes earlier in the rendezvous order. Instances that place a new
+	// prompt at the same time thus choose the same engine, unless its queue is long.
+	rankStep = 1_500
+	// loadTokens is the waiting, in tokens, that one running request stands for.
+	loadTokens = 60
 	// crossDomainPenalty is the number of requests in flight that the own failure
 	// domain may have more before another one is preferred.
 	crossDomainPenalty = 2
@@ -79,25 +100,14 @@
 	fullFactor = 4
 )
 
-// Prompt identifies the parts of a prompt that decide its placement.
+// Prompt is what the decision needs of a prompt.
 type Prompt struct {
-	leading uint64
-	shared  uint64
-}
-
-// NewPrompt returns the key of a prompt. The last part belongs to the request
-// alone and does not count, unless it is the only one.
-func NewPrompt(parts []waxfleet.PromptPart) Prompt {
-	if len(parts) == 0 {
-		return Prompt{}
-	}
-	last := max(len(parts)-2, 0)
-	return Prompt{leading: xxhash.Sum64String(parts[0].ID), shared: xxhash.Sum64String(parts[last].ID)}
+	// Hash identifies the shared parts.
+	Hash uint64
+	// Shared is the number of tokens in the shared parts.
+	Shared int
 }
 
-// Empty reports whether the request has no prompt.
-func (p Prompt) Empty() bool { return p == Prompt{} }
-
 // rank is the rendezvous weight of a server for a key. The finalizer is that of
 // splitmix64.
 func rank(key uint64, id string) uint64 {
@@ -122,44 +132,72 @@
 	return float64(total) / float64(n)
 }
 
+// loadLimit returns the load up to which an engine gets the prompt.
+func loadLimit(p Prompt, mean float64) int {
+	if p.Shared < smallPrompt {
+		return int(math.Floor(smallFactor*mean + smallSlack))
+	}
+	return int(math.Floor(loadFactor*mean + loadSlack))
+}
+
 // ForPrompt chooses the engine for a prompt. It answers the load pattern of
-// returning chats with parts in common, of which a few may be hot: the home of
-// the shared part first, the next in its rendezvous order when the home has
-// clearly more work than the mean.
+// returning chats with parts in common, of which a few may be hot, and of many
+// new prompts at once: the engine with the least waiting, where reading what the
+// engine does not hold counts as waiting, among those below the load limit.
 func ForPrompt(p Prompt, candidates []Candidate, excluded map[string]bool) Choice {
 	mean := meanLoad(candidates)
-	limit := int(math.Floor(spreadFactor*mean + spreadSlack))
-	order := promptOrder(p, candidates)
+	limit := loadLimit(p, mean)
 	choice := Choice{Reason: ReasonNone, Mean: mean, Limit: limit}
-	paced := false
-	for i, c := range order {
-		if c.Down || c.Doubtful || excluded[c.ID] {
-			continue
+	most := 0
+	for _, c := range candidates {
+		if !c.Down {
+			most = max(most, c.Held)
 		}
-		if c.Cold && !c.Paced {
-			paced = true
+	}
+	order := rendezvous(p.Hash, candidates)
+	best, bestCost := -1, 0.0
+	for i, c := range order {
+		if c.Down || c.Doubtful || excluded[c.ID] || c.Cold && !c.Paced || c.Load > limit {
 			continue
 		}
-		if c.Load <= limit {
-			choice.ID, choice.Load, choice.Reason = c.ID, c.Load, ReasonSpill
-			if i == 0 {
-				choice.Reason = ReasonHome
-			}
-			return choice
+		if cost := waiting(p, c, most, i); best < 0 || cost < bestCost {
+			best, bestCost = i, cost
 		}
 	}
-	if paced {
-		choice.Reason = ReasonPaced
+	if best < 0 {
+		return least(order, excluded, choice)
+	}
+	c := order[best]
+	choice.ID, choice.Load, choice.Reason = c.ID, c.Load, ReasonReader
+	if c.Held >= p.Shared {
+		choice.Reason = ReasonHolder
 	}
-	return least(order, excluded, choice)
+	return choice
 }
 
-// least chooses the least loaded of the servers that are left, the doubtful ones
+// waiting is the expected waiting at an engine, in tokens. most is the number of
+// shared tokens that some engine holds, and place the engine's place in the
+// rendezvous order.
+func waiting(p Prompt, c Candidate, most, place int) float64 {
+	cost := float64(c.Pending) + loadTokens*float64(c.Load)
+	if c.Held >= p.Shared {
+		return cost
+	}
+	fetched := max(0, min(most, p.Shared)-c.Held)
+	read := p.Shared - c.Held - fetched
+	return cost + readWeight*float64(read) + fetchWeight*float64(fetched) + rankStep*float64(place)
+}
+
+// least chooses the least loaded of the engines that are left, the doubtful ones
 // last.
 func least(order []Candidate, excluded map[string]bool, choice Choice) Choice {
 	best := -1
 	for i, c := range order {
-		if c.Down || excluded[c.ID] || c.Cold && !c.Paced {
+		if c.Down || excluded[c.ID] {
+			continue
+		}
+		if c.Cold && !c.Paced {
+			choice.Reason = ReasonPaced
 			continue
 		}
 		if best < 0 || order[best].Doubtful && !c.Doubtful ||
@@ -170,27 +208,20 @@
 	if best < 0 {
 		return choice
 	}
-	choice.ID, choice.Load, choice.Reason = order[best].ID, order[best].Load, ReasonSpill
+	choice.ID, choice.Load, choice.Reason = order[best].ID, order[best].Load, ReasonLeast
 	if order[best].Doubtful {
 		choice.Reason = ReasonDoubtful
 	}
 	return choice
 }
 
-// promptOrder returns the candidates in the order of preference for a prompt:
-// first the group of the leading part, within it and after it by the shared part.
-func promptOrder(p Prompt, candidates []Candidate) []Candidate {
+// rendezvous returns the candidates in the rendezvous order of a key.
+func rendezvous(key uint64, candidates []Candidate) []Candidate {
 	order := make([]ranked, len(candidates))
 	for i, c := range candidates {
-		order[i] = ranked{c: c, weight: rank(p.leading, c.ID)}
+		order[i] = ranked{c: c, weight: rank(key, c.ID)}
 	}
 	sortRanked(order)
-	for i := range order {
-		order[i].weight = rank(p.shared, order[i].c.ID)
-	}
-	split := min(groupSize, len(order))
-	sortRanked(order[:split])
-	sortRanked(order[split:])
 	out := make([]Candidate, len(order))
 	for i, r := range order {
 		out[i] = r.c
