--- /dev/null
+++ b/waxfleet/waxcache/holders_test.go
@@ -0,0 +1,75 @@
+package waxcache
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"waxwingdrift.org/waxfleet"
+)
+
+func prompt(parts ...waxfleet.PromptPart) Key { return NewKey(parts) }
+
+var (
+	school = waxfleet.PromptPart{ID: "school", Tokens: 2500}
+	letter = waxfleet.PromptPart{ID: "letter", Tokens: 6000}
+	memo   = waxfleet.PromptPart{ID: "memo", Tokens: 700}
+	own    = waxfleet.PromptPart{ID: "own", Tokens: 300}
+)
+
+// TestHeld guards against a part that counts as held although the parts before
+// it are not, and against prompts that are told apart by their own part.
+func TestHeld(t *testing.T) {
+	is := is.New(t)
+	h := NewHolders()
+	a, b := ServerHash("engine-1", 1), ServerHash("engine-2", 1)
+	is.True(h.Sent(prompt(school, letter, own), a))
+	is.True(!h.Sent(prompt(school, letter, memo), a)) // the last part belongs to the request alone
+	h.Sent(prompt(school, memo, own), b)
+
+	is.Equal(h.Held(prompt(school, letter, own)), map[uint32]int{a: 8500, b: 2500})
+	is.Equal(h.Held(prompt(school, memo, own)), map[uint32]int{a: 2500, b: 3200})
+	is.Equal(len(h.Held(prompt(letter, memo, own))), 0)
+	is.Equal(len(h.Held(prompt(own))), 0)
+	is.Equal(prompt(school, letter, own).Tokens(), 8500)
+
+	h.Lost(a)
+	is.Equal(h.Held(prompt(school, letter, own)), map[uint32]int{b: 2500})
+}
+
+// TestIncarnations guards against holdings of an engine that has restarted under
+// its name and holds nothing.
+func TestIncarnations(t *testing.T) {
+	is := is.New(t)
+	is.True(ServerHash("engine-1", 1) != ServerHash("engine-1", 2))
+}
+
+// TestNews guards against a holding that peers never learn of because one
+// datagram was lost, and against telling it forever.
+func TestNews(t *testing.T) {
+	is := is.New(t)
+	h := NewHolders()
+	h.Sent(prompt(school, letter, own), 7)
+	for range tellings {
+		is.Equal(len(h.News(10)), 2)
+	}
+	is.Equal(len(h.News(10)), 0)
+
+	other := NewHolders()
+	for _, v := range h.All() {
+		other.Told(v)
+	}
+	is.Equal(other.Held(prompt(school, letter, own)), h.Held(prompt(school, letter, own)))
+	is.Equal(len(other.News(10)), 0) // what was told is not told on
+}
+
+// TestNewsAreBounded guards against datagrams that grow beyond a frame.
+func TestNewsAreBounded(t *testing.T) {
+	is := is.New(t)
+	h := NewHolders()
+	for i := range 100 {
+		h.Sent(prompt(waxfleet.PromptPart{ID: string(rune('a' + i)), Tokens: 1}, own), 7)
+	}
+	is.Equal(len(h.News(60)), 60)
+	is.Equal(len(h.All()), 100)
+}
