waxreplica: follow the store's objects at instances that watch it

Ruled out: longer waits alone (a silent connection would hide a leaving server). Change: two instances (four in fleets above 16) watch the store; the others follow their copies over connect-go, tell each other the revisions of the last changes in their datagrams, and ask the store itself when a copy fails, is old or behind.

--- a/waxfleet/feed.go
+++ b/waxfleet/feed.go
@@ -14,18 +14,35 @@
 	Readable bool
 	Problem  string
 	Value    T
+	// Raw is the stored form, for other instances.
+	Raw []byte
+}
+
+// Batch is the answer of a feed.
+type Batch[T any] struct {
+	Records []Record[T]
+	// Full batches hold all records; others hold changes in order.
+	Full bool
+	// Revision is the store's revision to go on from.
+	Revision uint64
+	// Lag says how old the state may be: the store had it at a moment at most Lag
+	// before the call was sent. It is negative when the moment is known to be later.
+	Lag Millis
 }
 
 // Feed is a kind of objects in the platform's store.
 //
 // Errors: CodeHistoryGone when the revision is too old to watch from,
-// CodePlatformRateLimited and CodePlatformUnreachable otherwise.
+// CodePlatformRateLimited, CodePlatformUnreachable and CodePlatformUnknown when
+// there was no usable answer.
 type Feed[T any] interface {
-	// List returns all records and the store's revision.
-	List(ctx context.Context) ([]Record[T], uint64, error)
-	// Watch waits at most wait for changes after the revision. It returns the
-	// changes, in order, and the revision to go on from.
-	Watch(ctx context.Context, after uint64, wait Millis) ([]Record[T], uint64, error)
+	// List returns all records.
+	List(ctx context.Context) (Batch[T], error)
+	// Watch waits at most wait for changes after the revision. A source that no
+	// longer has all changes may return a full batch.
+	Watch(ctx context.Context, after uint64, wait Millis) (Batch[T], error)
+	// Decode returns the record of an object with the given stored form.
+	Decode(name string, revision uint64, raw []byte) Record[T]
 }
 
 // EngineEntry is what a backend server says of itself in the store.
--- a/waxfleet/waxfollow/follower.go
+++ b/waxfleet/waxfollow/follower.go
@@ -1,10 +1,12 @@
 // Package waxfollow keeps a local copy of one kind of objects of the platform's
-// store: it lists them once and then watches for changes.
+// store: it lists them once and then watches for changes, at the store itself or
+// at the copy of another instance.
 package waxfollow
 
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v4"
@@ -20,17 +22,20 @@
 	// answerTime is how long an answer may take beyond the wait of a watch, in ms.
 	// A slow store takes some hundred ms; a silent connection is given up after it.
 	answerTime waxfleet.Millis = 1_200
+	// peerAnswerTime is the same for the copy of another instance, in ms.
+	peerAnswerTime waxfleet.Millis = 500
 )
 
-// Update is a change of the local copy.
-type Update[T any] struct {
-	// Full updates hold all records; others hold changes in order.
-	Full    bool
-	Records []waxfleet.Record[T]
-	// Revision is the store's revision that the copy has reached.
-	Revision uint64
-	// Sent is the clock time at which the call was sent that confirmed the state.
-	Sent waxfleet.Millis
+// Source is where the next call goes.
+type Source[T any] struct {
+	Feed waxfleet.Feed[T]
+	// Peer is the instance whose copy is followed; empty for the store itself.
+	Peer string
+	// Wait is the longest wait of a watch. It bounds how long a silent connection
+	// goes unnoticed, and the age of the confirmed state.
+	Wait waxfleet.Millis
+	// MaxLag is the age from which a copy counts as failed; 0 for no bound.
+	MaxLag waxfleet.Millis
 }
 
 // Options configure a Follower.
@@ -39,11 +44,13 @@
 	Name  string
 	Clock *waxfleet.Clock
 	Log   *slog.Logger
-	// Wait is the longest wait of a watch. It bounds how long a silent connection
-	// goes unnoticed, and the age of the confirmed state.
-	Wait waxfleet.Millis
-	// Apply takes each update, also those without records. Calls do not overlap.
-	Apply func(Update[T])
+	// Source is asked before each call.
+	Source func() Source[T]
+	// Apply takes each batch, also those without records, with the clock time at
+	// which the store had the state for certain. Calls do not overlap.
+	Apply func(b waxfleet.Batch[T], asOf waxfleet.Millis)
+	// PeerFailed is called when a peer's copy can't be followed.
+	PeerFailed func(peer string, err error)
 	// Lost is called when the store fails and Regained when it answers again.
 	Lost     func(err error)
 	Regained func()
@@ -52,14 +59,17 @@
 // Follower keeps a copy of a feed current.
 type Follower[T any] struct {
 	opts Options[T]
-	feed waxfleet.Feed[T]
 	lost bool
 	done chan struct{}
+
+	mu     sync.Mutex
+	cancel context.CancelFunc
+	kicked bool
 }
 
 // New returns a follower that runs until ctx ends.
-func New[T any](ctx context.Context, feed waxfleet.Feed[T], opts Options[T]) *Follower[T] {
-	f := &Follower[T]{opts: opts, feed: feed, done: make(chan struct{})}
+func New[T any](ctx context.Context, opts Options[T]) *Follower[T] {
+	f := &Follower[T]{opts: opts, done: make(chan struct{})}
 	go func() {
 		defer close(f.done)
 		f.run(ctx)
@@ -70,52 +80,89 @@
 // Done is closed when the follower has ended.
 func (f *Follower[T]) Done() <-chan struct{} { return f.done }
 
+// Kick ends the present call, so that the next one goes to a new source.
+func (f *Follower[T]) Kick() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cancel != nil {
+		f.kicked = true
+		f.cancel()
+	}
+}
+
 func (f *Follower[T]) run(ctx context.Context) {
 	pause := backoff.NewExponentialBackOff(backoff.WithInitialInterval(firstRetry),
 		backoff.WithMaxInterval(longestRetry), backoff.WithMaxElapsedTime(0))
 	var revision uint64
 	listed := false
 	for ctx.Err() == nil {
-		next, err := f.step(ctx, listed, revision)
-		if err == nil {
+		source := f.opts.Source()
+		next, err := f.step(ctx, source, listed, revision)
+		switch {
+		case err == nil:
 			pause.Reset()
 			listed, revision = true, next
-			continue
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		if waxfleet.CodeOf(err) == waxfleet.CodeHistoryGone {
+		case ctx.Err() != nil || f.wasKicked():
+		case waxfleet.CodeOf(err) == waxfleet.CodeHistoryGone:
 			f.opts.Log.Warn("history gone, listing again", "feed", f.opts.Name, "revision", revision)
 			listed = false
-			continue
+		case source.Peer != "":
+			f.opts.Log.Warn("copy failed", "feed", f.opts.Name, "peer", source.Peer, "error", err.Error())
+			f.opts.PeerFailed(source.Peer, err)
+		default:
+			f.failed(err)
+			_ = f.opts.Clock.Sleep(ctx, waxfleet.MillisOf(pause.NextBackOff()))
 		}
-		f.failed(err)
-		_ = f.opts.Clock.Sleep(ctx, waxfleet.MillisOf(pause.NextBackOff()))
 	}
 }
 
+func (f *Follower[T]) wasKicked() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	kicked := f.kicked
+	f.kicked = false
+	return kicked
+}
+
+// begin returns the context of a call, which Kick ends.
+func (f *Follower[T]) begin(ctx context.Context, timeout waxfleet.Millis) (context.Context, context.CancelFunc) {
+	callCtx, cancel := context.WithTimeout(ctx, timeout.Duration())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancel, f.kicked = cancel, false
+	return callCtx, cancel
+}
+
 // step makes one call and applies its answer.
-func (f *Follower[T]) step(ctx context.Context, listed bool, revision uint64) (uint64, error) {
+func (f *Follower[T]) step(ctx context.Context, source Source[T], listed bool, revision uint64) (uint64, error) {
 	sent := f.opts.Clock.Now()
-	var records []waxfleet.Record[T]
+	answer := answerTime
+	if source.Peer != "" {
+		answer = peerAnswerTime
+	}
+	var b waxfleet.Batch[T]
 	var err error
 	if listed {
-		callCtx, cancel := context.WithTimeout(ctx, (f.opts.Wait + answerTime).Duration())
+		callCtx, cancel := f.begin(ctx, source.Wait+answer)
 		defer cancel()
-		records, revision, err = f.feed.Watch(callCtx, revision, f.opts.Wait)
+		b, err = source.Feed.Watch(callCtx, revision, source.Wait)
 	} else {
-		callCtx, cancel := context.WithTimeout(ctx, (answerTime + answerTime).Duration())
+		callCtx, cancel := f.begin(ctx, 2*answer)
 		defer cancel()
-		records, revision, err = f.feed.List(callCtx)
+		b, err = source.Feed.List(callCtx)
 	}
 	if err != nil {
 		return 0, err
 	}
-	f.regained()
-	f.report(records)
-	f.opts.Apply(Update[T]{Full: !listed, Records: records, Revision: revision, Sent: sent})
-	return revision, nil
+	if source.MaxLag > 0 && b.Lag > source.MaxLag {
+		return 0, waxfleet.NewError(waxfleet.CodePeerUnreachable, "the copy is %d ms old", b.Lag)
+	}
+	if source.Peer == "" {
+		f.regained()
+	}
+	f.report(b.Records)
+	f.opts.Apply(b, sent-b.Lag)
+	return b.Revision, nil
 }
 
 // report logs the records that can't be decoded.
--- a/waxfleet/waxfront/front.go
+++ b/waxfleet/waxfront/front.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -17,24 +18,15 @@
 	"waxwingdrift.org/waxfleet"
 	"waxwingdrift.org/waxfleet/waxcache"
 	"waxwingdrift.org/waxfleet/waxdirectory"
-	"waxwingdrift.org/waxfleet/waxfollow"
 	"waxwingdrift.org/waxfleet/waxforward"
 	"waxwingdrift.org/waxfleet/waxfresh"
 	"waxwingdrift.org/waxfleet/waxpeer"
 	"waxwingdrift.org/waxfleet/waxquota"
+	"waxwingdrift.org/waxfleet/waxreplica"
 	"waxwingdrift.org/waxfleet/waxtable"
 )
 
 const (
-	// configWait bounds the age of the proof that the list of keys is current, in
-	// ms: two waits and one lost answer stay below the five seconds of the proof.
-	configWait waxfleet.Millis = 1_500
-	// serversWait bounds how long a silent connection hides a leaving server, in ms.
-	serversWait waxfleet.Millis = 1_800
-	// evacuationsWait does so for a failure domain that is taken out, in ms.
-	evacuationsWait waxfleet.Millis = 3_000
-	// peersWait does so for other instances, in ms; only shares depend on them.
-	peersWait waxfleet.Millis = 20_000
 	// sweepInterval is the time between looks at idle connections and missing
 	// servers, in ms.
 	sweepInterval waxfleet.Millis = 500
@@ -46,14 +38,6 @@
 	maxHeader = 64 << 10
 )
 
-// Names of the followed feeds, in logs and for Revision.
-const (
-	FeedConfig      = "configuration"
-	FeedServers     = "backend-servers"
-	FeedEvacuations = "evacuations"
-	FeedPeers       = "instances"
-)
-
 // Store gives access to the platform's store.
 type Store interface {
 	Configurations() waxfleet.Feed[*waxtable.Table]
@@ -88,15 +72,15 @@
 	loads     *waxpeer.Loads
 	holders   *waxcache.Holders
 	exchanger *waxpeer.Exchanger
+	copies    *copies
 	forwarder *waxforward.Forwarder
 	metrics   *metrics
 	callers   *http.Server
 
 	mu        sync.Mutex
 	instances []string
+	addresses map[string]string
 	ready     bool
-	// reached holds the store's revision of each followed feed.
-	reached map[string]uint64
 
 	stopAt   atomic.Int64
 	refusals atomic.Int64
@@ -105,7 +89,7 @@
 // New opens the addresses and runs the instance until ctx ends.
 func New(ctx context.Context, opts Options) (*Front, error) {
 	s := opts.Settings
-	f := &Front{opts: opts, log: opts.Log, proof: waxfresh.NewProof(opts.Clock, s.Bounds.Revocation), instances: []string{s.Instance}, reached: map[string]uint64{}}
+	f := &Front{opts: opts, log: opts.Log, proof: waxfresh.NewProof(opts.Clock, s.Bounds.Revocation), instances: []string{s.Instance}}
 	f.bounds.Store(&s.Bounds)
 	f.directory = waxdirectory.New(opts.Clock)
 	f.servers = waxforward.NewServers(opts.Clock, opts.Protocol)
@@ -118,8 +102,10 @@
 		Bounds: f.forwardBounds, Instances: f.Instances, Stopping: f.stopping, Observe: f.metrics.observe,
 	})
 	var err error
+	f.copies = newCopies(opts.Clock, s.Instance)
 	f.exchanger, err = waxpeer.NewExchanger(ctx, f.loads, waxpeer.Options{
 		Instance: s.Instance, Address: f.peerAddress(), Clock: opts.Clock, Log: opts.Log, Counts: f.servers.Counts, Holders: f.holders,
+		Revisions: f.copies.last,
 	})
 	if err != nil {
 		return nil, err
@@ -147,15 +133,17 @@
 	}
 	ready := echo.New()
 	ready.GET(f.opts.ReadyPath, f.serveReady)
-	figures := echo.New()
-	figures.GET("/metrics", echo.WrapHandler(f.metrics.handler))
+	peers := echo.New()
+	peers.GET("/metrics", echo.WrapHandler(f.metrics.handler))
+	path, handler := waxreplica.NewServer(f.copies.replicas)
+	peers.Any(path+"*", echo.WrapHandler(handler))
 	for _, l := range []struct {
 		address string
 		server  *http.Server
 	}{
 		{s.CallerAddress, f.callers},
 		{s.ReadyAddress, &http.Server{Handler: ready, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}},
-		{f.peerAddress(), &http.Server{Handler: figures, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}},
+		{f.peerAddress(), &http.Server{Handler: peers, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}},
 	} {
 		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", l.address)
 		if err != nil {
@@ -213,20 +201,6 @@
 	return f.instances
 }
 
-// reach notes the store's revision that a feed has reached.
-func (f *Front) reach(feed string, revision uint64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.reached[feed] = revision
-}
-
-// Revision returns the store's revision that a followed feed has reached.
-func (f *Front) Revision(feed string) uint64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.reached[feed]
-}
-
 func (f *Front) forwardBounds() waxforward.Bounds {
 	b := f.bounds.Load()
 	return waxforward.Bounds{
@@ -280,28 +254,9 @@
 	longestAnnounceRetry waxfleet.Millis = 2_000
 )
 
-// follow starts the followers of the store.
-func (f *Front) follow(ctx context.Context) {
-	store, clock := f.opts.Store, f.opts.Clock
-	waxfollow.New(ctx, store.Configurations(), waxfollow.Options[*waxtable.Table]{
-		Name: FeedConfig, Clock: clock, Log: f.log, Wait: configWait, Apply: f.applyConfig,
-	})
-	waxfollow.New(ctx, store.BackendServers(), waxfollow.Options[waxfleet.EngineEntry]{
-		Name: FeedServers, Clock: clock, Log: f.log, Wait: serversWait, Apply: f.applyServers,
-		Lost: func(error) { f.directory.StoreLost() }, Regained: f.directory.StoreRegained,
-	})
-	waxfollow.New(ctx, store.Evacuations(), waxfollow.Options[waxfleet.Evacuation]{
-		Name: FeedEvacuations, Clock: clock, Log: f.log, Wait: evacuationsWait, Apply: f.evacuations(),
-	})
-	waxfollow.New[waxfleet.PeerEntry](ctx, store.Peers(), waxfollow.Options[waxfleet.PeerEntry]{
-		Name: FeedPeers, Clock: clock, Log: f.log, Wait: peersWait, Apply: f.peers(),
-	})
-}
-
 // applyConfig puts a configuration in force; versions only rise.
-func (f *Front) applyConfig(u waxfollow.Update[*waxtable.Table]) {
-	defer f.reach(FeedConfig, u.Revision)
-	for _, r := range u.Records {
+func (f *Front) applyConfig(b waxfleet.Batch[*waxtable.Table], asOf waxfleet.Millis) {
+	for _, r := range b.Records {
 		if r.Deleted || !r.Readable {
 			// The last good configuration stays in force.
 			continue
@@ -312,18 +267,17 @@
 		}
 		f.table.Store(r.Value)
 		f.log.Info("configuration in force", "config-version", r.Value.Version(), "revision", r.Revision,
-			"services", r.Value.Services(), "read-age-ms", int64(f.opts.Clock.Now()-u.Sent))
+			"services", r.Value.Services(), "read-age-ms", int64(f.opts.Clock.Now()-asOf))
 	}
-	f.proof.Confirm(u.Sent)
+	f.proof.Confirm(asOf)
 }
 
-func (f *Front) applyServers(u waxfollow.Update[waxfleet.EngineEntry]) {
-	defer f.reach(FeedServers, u.Revision)
-	if u.Full {
-		f.logServers(f.directory.ApplyList(u.Records), "list")
+func (f *Front) applyServers(b waxfleet.Batch[waxfleet.EngineEntry], _ waxfleet.Millis) {
+	if b.Full {
+		f.logServers(f.directory.ApplyList(b.Records), "list")
 		return
 	}
-	f.logServers(f.directory.ApplyChanges(u.Records), "change")
+	f.logServers(f.directory.ApplyChanges(b.Records), "change")
 }
 
 func (f *Front) logServers(changes []waxdirectory.Change, source string) {
@@ -335,20 +289,19 @@
 
 // evacuations returns the function that applies changes to the failure domains
 // that get no work.
-func (f *Front) evacuations() func(waxfollow.Update[waxfleet.Evacuation]) {
+func (f *Front) evacuations() func(waxfleet.Batch[waxfleet.Evacuation], waxfleet.Millis) {
 	current := map[string]bool{}
-	return func(u waxfollow.Update[waxfleet.Evacuation]) {
-		defer f.reach(FeedEvacuations, u.Revision)
-		if !u.Full && len(u.Records) == 0 {
+	return func(b waxfleet.Batch[waxfleet.Evacuation], _ waxfleet.Millis) {
+		if !b.Full && len(b.Records) == 0 {
 			return
 		}
 		next := map[string]bool{}
-		if !u.Full {
+		if !b.Full {
 			for domain := range current {
 				next[domain] = true
 			}
 		}
-		for _, r := range u.Records {
+		for _, r := range b.Records {
 			if r.Deleted {
 				delete(next, r.Name)
 				continue
@@ -358,25 +311,25 @@
 		current = next
 		out, back := f.directory.Evacuate(next)
 		for _, domain := range out {
-			f.log.Info("failure domain out", "failure-domain", domain, "revision", u.Revision)
+			f.log.Info("failure domain out", "failure-domain", domain, "revision", b.Revision)
 		}
 		for _, domain := range back {
-			f.log.Info("failure domain in", "failure-domain", domain, "revision", u.Revision)
+			f.log.Info("failure domain in", "failure-domain", domain, "revision", b.Revision)
 		}
 	}
 }
 
 // peers returns the function that applies changes to the registry of instances.
-func (f *Front) peers() func(waxfollow.Update[waxfleet.PeerEntry]) {
+func (f *Front) peers() func(waxfleet.Batch[waxfleet.PeerEntry], waxfleet.Millis) {
 	addresses := map[string]string{}
-	return func(u waxfollow.Update[waxfleet.PeerEntry]) {
-		if !u.Full && len(u.Records) == 0 {
+	return func(b waxfleet.Batch[waxfleet.PeerEntry], _ waxfleet.Millis) {
+		if !b.Full && len(b.Records) == 0 {
 			return
 		}
-		if u.Full {
+		if b.Full {
 			addresses = map[string]string{}
 		}
-		for _, r := range u.Records {
+		for _, r := range b.Records {
 			if r.Deleted || !r.Readable {
 				delete(addresses, r.Name)
 				continue
@@ -391,8 +344,9 @@
 		}
 		f.mu.Lock()
 		f.instances = names
+		f.addresses = maps.Clone(addresses)
 		f.mu.Unlock()
 		f.exchanger.SetPeers(addresses)
-		f.log.Info("instances changed", "instances", len(names), "revision", u.Revision)
+		f.log.Info("instances changed", "instances", len(names), "revision", b.Revision)
 	}
 }
--- a/waxfleet/waxpeer/exchanger.go
+++ b/waxfleet/waxpeer/exchanger.go
@@ -46,6 +46,8 @@
 	Log     *slog.Logger
 	// Counts returns the own counts by backend server.
 	Counts func() map[string]Count
+	// Revisions returns the revisions of the last changes that were seen, by feed.
+	Revisions func() []uint64
 	// Holders is the table of the engines' caches.
 	Holders *waxcache.Holders
 }
@@ -135,6 +137,7 @@
 
 func (e *Exchanger) send(ctx context.Context) {
 	var last map[string]Count
+	var lastRevisions []uint64
 	var lastAt waxfleet.Millis
 	for {
 		peers := e.peerList()
@@ -145,13 +148,13 @@
 		if !e.wait(ctx, pause) {
 			return
 		}
-		counts := e.opts.Counts()
+		counts, revisions := e.opts.Counts(), e.opts.Revisions()
 		holdings := e.opts.Holders.News(maxHoldings)
 		now := e.opts.Clock.Now()
-		if now-lastAt < repeatInterval && len(holdings) == 0 && maps.Equal(counts, last) {
+		if now-lastAt < repeatInterval && len(holdings) == 0 && maps.Equal(counts, last) && slices.Equal(revisions, lastRevisions) {
 			continue
 		}
-		last, lastAt = counts, now
+		last, lastRevisions, lastAt = counts, revisions, now
 		e.broadcast(peers, counts, holdings)
 	}
 }
@@ -214,6 +217,7 @@
 	e.sequence++
 	d := datagram(e.opts.Instance, e.start, holdings, false)
 	d.Sequence = e.sequence
+	d.Revisions = e.opts.Revisions()
 	for id, c := range counts {
 		d.Servers = append(d.Servers, ServerHash(id))
 		d.InFlight = append(d.InFlight, uint32(c.InFlight))
--- a/waxfleet/waxpeer/loads.go
+++ b/waxfleet/waxpeer/loads.go
@@ -28,6 +28,7 @@
 	sequence    uint64
 	at          waxfleet.Millis
 	counts      map[uint32]Count
+	revisions   []uint64
 }
 
 // Count is what an instance has at one backend server.
@@ -63,7 +64,8 @@
 	}
 	r := report{
 		incarnation: d.GetIncarnation(), sequence: d.GetSequence(), at: l.clock.Now(),
-		counts: make(map[uint32]Count, len(d.GetServers())),
+		revisions: d.GetRevisions(),
+		counts:    make(map[uint32]Count, len(d.GetServers())),
 	}
 	for i, server := range d.GetServers() {
 		var c Count
@@ -113,3 +115,28 @@
 	}
 	return instances, oldest
 }
+
+// Alive reports whether the instance with the name was heard lately.
+func (l *Loads) Alive(name string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, ok := l.reports[HashOf(name)]
+	return ok && l.clock.Now()-r.at < silence
+}
+
+// Revisions returns the highest revisions that other instances have seen changes
+// at, in the order of the feeds.
+func (l *Loads) Revisions() []uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []uint64
+	for _, r := range l.reports {
+		for i, revision := range r.revisions {
+			if i == len(out) {
+				out = append(out, 0)
+			}
+			out[i] = max(out[i], revision)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/waxfleet/waxreplica/plan.go
@@ -0,0 +1,101 @@
+package waxreplica
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"waxwingdrift.org/waxfleet"
+)
+
+const (
+	// smallFleet is the largest number of instances with fewWatchers watchers of
+	// the store; larger fleets have moreWatchers.
+	smallFleet   = 16
+	fewWatchers  = 2
+	moreWatchers = 4
+	// directTime is how long an instance watches the store itself after the copies
+	// of others have failed it, in ms.
+	directTime waxfleet.Millis = 5_000
+	// avoidTime is how long an instance whose copy failed is not followed, in ms.
+	avoidTime waxfleet.Millis = 10_000
+)
+
+// Watchers returns the instances that watch the store, out of those that live.
+// All instances that see the same ones alive agree.
+func Watchers(alive []string) []string {
+	n := fewWatchers
+	if len(alive) > smallFleet {
+		n = moreWatchers
+	}
+	order := slices.Clone(alive)
+	slices.SortFunc(order, func(a, b string) int {
+		if c := cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a, b)
+	})
+	return order[:min(n, len(order))]
+}
+
+// Plan decides whether an instance watches the store itself or follows the copy
+// of another one. It answers the pattern of a fleet that is larger than the
+// store's rates. It is safe for concurrent use.
+type Plan struct {
+	clock    *waxfleet.Clock
+	instance string
+
+	mu          sync.Mutex
+	directUntil waxfleet.Millis
+	avoidUntil  map[string]waxfleet.Millis
+}
+
+// NewPlan returns a plan for an instance.
+func NewPlan(clock *waxfleet.Clock, instance string) *Plan {
+	return &Plan{clock: clock, instance: instance, avoidUntil: map[string]waxfleet.Millis{}}
+}
+
+// Source returns the instance to follow, or "" for the store itself. alive holds
+// the instances that were heard lately.
+func (p *Plan) Source(alive []string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	if now < p.directUntil {
+		return ""
+	}
+	watchers := Watchers(append(slices.Clone(alive), p.instance))
+	if slices.Contains(watchers, p.instance) {
+		return ""
+	}
+	best, bestRank := "", uint64(0)
+	for _, w := range watchers {
+		if now < p.avoidUntil[w] {
+			continue
+		}
+		if rank := xxhash.Sum64String(w + "\x00" + p.instance); best == "" || rank > bestRank {
+			best, bestRank = w, rank
+		}
+	}
+	return best
+}
+
+// Failed notes that the copy of an instance can't be followed. The next calls go
+// to the store.
+func (p *Plan) Failed(peer string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	p.avoidUntil[peer] = now + avoidTime
+	p.directUntil = now + directTime
+}
+
+// Behind notes that other instances have seen changes that the followed copy does
+// not have. The next calls go to the store.
+func (p *Plan) Behind() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.directUntil = p.clock.Now() + directTime
+}
