waxpick, waxfollow: prefer the own failure domain, ask a lost store less often

Change: one weight of 1.6 for tokens to read or fetch; 400 tokens for another failure domain; only the configuration is asked for often while the store is away.

--- a/waxfleet/waxfollow/follower.go
+++ b/waxfleet/waxfollow/follower.go
@@ -15,10 +15,8 @@
 )
 
 const (
-	// firstRetry and longestRetry bound the pause after a failed call. The store's
-	// answers take milliseconds, and a change has to be in force within seconds.
-	firstRetry   = 100 * time.Millisecond
-	longestRetry = 500 * time.Millisecond
+	// firstRetry is the pause after the first failed call.
+	firstRetry = 100 * time.Millisecond
 	// answerTime is how long an answer may take beyond the wait of a watch, in ms.
 	// A slow store takes some hundred ms; a silent connection is given up after it.
 	answerTime waxfleet.Millis = 1_200
@@ -51,6 +49,10 @@
 	Apply func(b waxfleet.Batch[T], asOf waxfleet.Millis)
 	// PeerFailed is called when a peer's copy can't be followed.
 	PeerFailed func(peer string, err error)
+	// LongestRetry bounds the pause after a failed call, in ms. The feed with the
+	// shortest one finds out first that the store is back; Kick ends the pauses of
+	// the others.
+	LongestRetry waxfleet.Millis
 	// Lost is called when the store fails and Regained when it answers again.
 	Lost     func(err error)
 	Regained func()
@@ -80,7 +82,7 @@
 // Done is closed when the follower has ended.
 func (f *Follower[T]) Done() <-chan struct{} { return f.done }
 
-// Kick ends the present call, so that the next one goes to a new source.
+// Kick ends the present call or pause, so that the next call is made at once.
 func (f *Follower[T]) Kick() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -92,7 +94,7 @@
 
 func (f *Follower[T]) run(ctx context.Context) {
 	pause := backoff.NewExponentialBackOff(backoff.WithInitialInterval(firstRetry),
-		backoff.WithMaxInterval(longestRetry), backoff.WithMaxElapsedTime(0))
+		backoff.WithMaxInterval(f.opts.LongestRetry.Duration()), backoff.WithMaxElapsedTime(0))
 	var revision uint64
 	listed := false
 	for ctx.Err() == nil {
@@ -111,11 +113,18 @@
 			f.opts.PeerFailed(source.Peer, err)
 		default:
 			f.failed(err)
-			_ = f.opts.Clock.Sleep(ctx, waxfleet.MillisOf(pause.NextBackOff()))
+			f.rest(ctx, waxfleet.MillisOf(pause.NextBackOff()))
 		}
 	}
 }
 
+// rest waits before the next call, unless Kick is called.
+func (f *Follower[T]) rest(ctx context.Context, pause waxfleet.Millis) {
+	restCtx, cancel := f.begin(ctx, pause)
+	defer cancel()
+	<-restCtx.Done()
+}
+
 func (f *Follower[T]) wasKicked() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -124,7 +133,7 @@
 	return kicked
 }
 
-// begin returns the context of a call, which Kick ends.
+// begin returns the context of a call or pause, which Kick ends.
 func (f *Follower[T]) begin(ctx context.Context, timeout waxfleet.Millis) (context.Context, context.CancelFunc) {
 	callCtx, cancel := context.WithTimeout(ctx, timeout.Duration())
 	f.mu.Lock()
--- a/waxfleet/waxforward/place.go
+++ b/waxfleet/waxforward/place.go
@@ -46,7 +46,9 @@
 	}
 	var choice waxpick.Choice
 	if contract.CacheTokens > 0 || !c.key.Empty() {
-		choice = waxpick.ForPrompt(waxpick.Prompt{Hash: c.key.Whole(), Shared: c.key.Tokens()}, candidates, c.tried)
+		choice = waxpick.ForPrompt(waxpick.Prompt{
+			FailureDomain: f.opts.FailureDomain, Hash: c.key.Whole(), Shared: c.key.Tokens(),
+		}, candidates, c.tried)
 	} else {
 		choice = waxpick.ForCall(f.opts.FailureDomain, c.in.ID, candidates, c.tried)
 	}
--- a/waxfleet/waxfront/follow.go
+++ b/waxfleet/waxfront/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"waxwingdrift.org/waxfleet"
 	"waxwingdrift.org/waxfleet/waxfollow"
@@ -29,6 +30,11 @@
 }
 
 const (
+	// configRetry and otherRetry bound the pause after a failed call to the store,
+	// in ms. Only the configuration, on which the proof of keys rests, is asked for
+	// often while the store is away; the other feeds follow when it is back.
+	configRetry waxfleet.Millis = 500
+	otherRetry  waxfleet.Millis = 4_000
 	// maxCopyLag is the age of another instance's copy of the configuration from
 	// which it is no longer followed, in ms: two waits, a call and its answer.
 	maxCopyLag waxfleet.Millis = 2_200
@@ -44,7 +50,9 @@
 	replicas map[string]*waxreplica.Replica
 	plan     *waxreplica.Plan
 	peers    *waxreplica.Peers
-	kicks    map[string]func()
+
+	mu    sync.Mutex
+	kicks map[string]func()
 }
 
 func newCopies(clock *waxfleet.Clock, instance string) *copies {
@@ -58,6 +66,22 @@
 	return c
 }
 
+func (c *copies) setKick(feed string, kick func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.kicks[feed] = kick
+}
+
+// kick ends the present call or pause of a feed's follower.
+func (c *copies) kick(feed string) {
+	c.mu.Lock()
+	kick := c.kicks[feed]
+	c.mu.Unlock()
+	if kick != nil {
+		kick()
+	}
+}
+
 // last returns the revisions of the last changes that were seen.
 func (c *copies) last() []uint64 {
 	out := make([]uint64, len(feedOrder))
@@ -90,6 +114,11 @@
 		apply(b, asOf)
 		waxreplica.Update(f.copies.replicas[name], b, asOf)
 	}
+	opts.LongestRetry = otherRetry
+	if name == FeedConfig {
+		opts.LongestRetry = configRetry
+		opts.Regained = f.kickOthers
+	}
 	opts.PeerFailed = func(peer string, _ error) { f.copies.plan.Failed(peer) }
 	opts.Source = func() waxfollow.Source[T] {
 		source := waxfollow.Source[T]{Feed: store, Wait: feedWaits[name]}
@@ -103,7 +132,16 @@
 		}
 		return source
 	}
-	f.copies.kicks[name] = waxfollow.New(ctx, opts).Kick
+	f.copies.setKick(name, waxfollow.New(ctx, opts).Kick)
+}
+
+// kickOthers ends the pauses of the other feeds once the store is back.
+func (f *Front) kickOthers() {
+	for _, feed := range feedOrder {
+		if feed != FeedConfig {
+			f.copies.kick(feed)
+		}
+	}
 }
 
 // source returns the instance to follow with its address, or "" for the store.
@@ -147,7 +185,7 @@
 			f.log.Warn("copy is behind, asking the store", "feed", feed, "revision", reached, "others", revision)
 			delete(since, feed)
 			f.copies.plan.Behind()
-			f.copies.kicks[feed]()
+			f.copies.kick(feed)
 		}
 	}
 }
--- a/waxfleet/waxpick/pick.go
+++ b/waxfleet/waxpick/pick.go
@@ -81,15 +81,19 @@
 	// smallPrompt is the number of shared tokens below which a prompt counts as
 	// small.
 	smallPrompt = 1_000
-	// readWeight is how many tokens of waiting one token read again is worth:
-	// reading takes time from all requests of the engine.
-	readWeight = 1.5
-	// fetchWeight replaces it for tokens that another engine can hand over.
-	fetchWeight = 0.6
+	// readWeight is how many tokens of waiting one shared token is worth that the
+	// engine has to read, or to fetch from another engine: both take time from all
+	// requests of the engine.
+	readWeight = 1.6
 	// rankStep is the waiting, in tokens, that is accepted for each place that an
-	// engine comes earlier in the rendezvous order. Instances that place a new
-	// prompt at the same time thus choose the same engine, unless its queue is long.
+	// engine comes earlier in the rendezvous order of its failure domain. Instances
+	// that place a new prompt at the same time thus choose the same engine, unless
+	// its queue is long.
 	rankStep = 1_500
+	// crossDomainTokens is the waiting, in tokens, that an engine in another failure
+	// domain stands for. Streams to it break when domains are cut off from each
+	// other, and its bytes are dear; small prompts are rather read twice.
+	crossDomainTokens = 400
 	// loadTokens is the waiting, in tokens, that one running request stands for.
 	loadTokens = 60
 	// crossDomainPenalty is the number of requests in flight that the own failure
@@ -102,6 +106,8 @@
 
 // Prompt is what the decision needs of a prompt.
 type Prompt struct {
+	// FailureDomain is that of the instance.
+	FailureDomain string
 	// Hash identifies the shared parts.
 	Hash uint64
 	// Shared is the number of tokens in the shared parts.
@@ -148,19 +154,16 @@
 	mean := meanLoad(candidates)
 	limit := loadLimit(p, mean)
 	choice := Choice{Reason: ReasonNone, Mean: mean, Limit: limit}
-	most := 0
-	for _, c := range candidates {
-		if !c.Down {
-			most = max(most, c.Held)
-		}
-	}
 	order := rendezvous(p.Hash, candidates)
+	places := map[string]int{}
 	best, bestCost := -1, 0.0
 	for i, c := range order {
+		place := places[c.FailureDomain]
+		places[c.FailureDomain]++
 		if c.Down || c.Doubtful || excluded[c.ID] || c.Cold && !c.Paced || c.Load > limit {
 			continue
 		}
-		if cost := waiting(p, c, most, i); best < 0 || cost < bestCost {
+		if cost := waiting(p, c, place); best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
 	}
@@ -175,17 +178,17 @@
 	return choice
 }
 
-// waiting is the expected waiting at an engine, in tokens. most is the number of
-// shared tokens that some engine holds, and place the engine's place in the
-// rendezvous order.
-func waiting(p Prompt, c Candidate, most, place int) float64 {
+// waiting is the expected waiting at an engine, in tokens. place is the engine's
+// place in the rendezvous order of its failure domain.
+func waiting(p Prompt, c Candidate, place int) float64 {
 	cost := float64(c.Pending) + loadTokens*float64(c.Load)
-	if c.Held >= p.Shared {
-		return cost
+	if c.FailureDomain != p.FailureDomain {
+		cost += crossDomainTokens
+	}
+	if c.Held < p.Shared {
+		cost += readWeight*float64(p.Shared-c.Held) + rankStep*float64(place)
 	}
-	fetched := max(0, min(most, p.Shared)-c.Held)
-	read := p.Shared - c.Held - fetched
-	return cost + readWeight*float64(read) + fetchWeight*float64(fetched) + rankStep*float64(place)
+	return cost
 }
 
 // least chooses the least loaded of the engines that are left, the doubtful ones
