--- /dev/null
+++ b/waxfleet/waxfollow/follower_test.go
@@ -0,0 +1,110 @@
+package waxfollow
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"waxwingdrift.org/waxfleet"
+)
+
+// scriptFeed answers each call with the next line of a script.
+type scriptFeed struct {
+	name  string
+	mu    sync.Mutex
+	lines []string
+	trace *trace
+}
+
+// trace collects what the follower did, and ends it after the script.
+type trace struct {
+	mu   sync.Mutex
+	text strings.Builder
+	end  context.CancelFunc
+}
+
+func (t *trace) add(format string, args ...any) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	fmt.Fprintf(&t.text, format+"\n", args...)
+}
+
+func (f *scriptFeed) next(ctx context.Context, call string) (waxfleet.Batch[string], error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.lines) == 0 {
+		f.trace.end()
+		<-ctx.Done()
+		return waxfleet.Batch[string]{}, ctx.Err()
+	}
+	line := f.lines[0]
+	f.lines = f.lines[1:]
+	f.trace.add("%s %s -> %s", f.name, call, line)
+	var code, revision, lag int
+	if n, _ := fmt.Sscanf(line, "error %d", &code); n == 1 {
+		return waxfleet.Batch[string]{}, waxfleet.NewError(waxfleet.Code(code), "scripted")
+	}
+	if _, err := fmt.Sscanf(line, "revision %d lag %d", &revision, &lag); err != nil {
+		panic(err)
+	}
+	return waxfleet.Batch[string]{Full: call == "list", Revision: uint64(revision), Lag: waxfleet.Millis(lag)}, nil
+}
+
+func (f *scriptFeed) List(ctx context.Context) (waxfleet.Batch[string], error) {
+	return f.next(ctx, "list")
+}
+
+func (f *scriptFeed) Watch(ctx context.Context, after uint64, _ waxfleet.Millis) (waxfleet.Batch[string], error) {
+	return f.next(ctx, fmt.Sprintf("watch after %d", after))
+}
+
+func (f *scriptFeed) Decode(name string, revision uint64, _ []byte) waxfleet.Record[string] {
+	return waxfleet.Record[string]{Name: name, Revision: revision}
+}
+
+// TestFollower runs scripts of a store and of another instance's copy. They guard
+// against a copy that is not read again after a gap, a lost store that goes
+// unnoticed, and an old copy that is taken.
+func TestFollower(t *testing.T) {
+	datadriven.RunTest(t, "testdata/follower", func(t *testing.T, d *datadriven.TestData) string {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		tr := &trace{end: cancel}
+		store, peer := &scriptFeed{name: "store", trace: tr}, &scriptFeed{name: "peer", trace: tr}
+		for _, line := range strings.Split(d.Input, "\n") {
+			who, what, _ := strings.Cut(line, " ")
+			if who == "peer" {
+				peer.lines = append(peer.lines, what)
+			} else {
+				store.lines = append(store.lines, what)
+			}
+		}
+		followPeer := len(peer.lines) > 0
+		f := New(ctx, Options[string]{
+			Name: "texts", Clock: waxfleet.NewClock(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)), LongestRetry: 1,
+			Source: func() Source[string] {
+				if followPeer {
+					return Source[string]{Feed: peer, Peer: "r2", MaxLag: 1000}
+				}
+				return Source[string]{Feed: store}
+			},
+			Apply: func(b waxfleet.Batch[string], _ waxfleet.Millis) {
+				tr.add("apply full=%v revision=%d", b.Full, b.Revision)
+			},
+			PeerFailed: func(name string, err error) {
+				tr.add("%s failed: %d", name, int(waxfleet.CodeOf(err)))
+				followPeer = false
+			},
+			Lost:     func(err error) { tr.add("lost: %d", int(waxfleet.CodeOf(err))) },
+			Regained: func() { tr.add("regained") },
+		})
+		<-f.Done()
+		return tr.text.String()
+	})
+}
--- /dev/null
+++ b/waxfleet/waxforward/events_test.go
@@ -0,0 +1,55 @@
+package waxforward
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// collect reads all events of a stream.
+func collect(r io.Reader) (events []string, ids []int64, err error) {
+	e := newEventReader(r)
+	for {
+		event, id, err := e.next()
+		if err != nil {
+			return events, ids, err
+		}
+		events, ids = append(events, string(event)), append(ids, id)
+	}
+}
+
+// TestEvents guards against events that are cut at the borders of reads, and
+// against the first half of an event that a broken stream ends with.
+func TestEvents(t *testing.T) {
+	const stream = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n: comment\n\ndata: last"
+	for _, r := range []io.Reader{
+		strings.NewReader(stream), iotest.OneByteReader(strings.NewReader(stream)), iotest.DataErrReader(strings.NewReader(stream)),
+	} {
+		is := is.New(t)
+		events, ids, err := collect(r)
+		is.Equal(err, io.EOF)
+		is.Equal(events, []string{"id: 1\ndata: a\n\n", "id:2\r\ndata: b\r\n\r\n", ": comment\n\n", "data: last"})
+		is.Equal(ids, []int64{1, 2, -1, -1})
+	}
+	is := is.New(t)
+	broken := errors.New("reset")
+	events, _, err := collect(io.MultiReader(strings.NewReader("id: 1\n\nid: 2\nda"), iotest.ErrReader(broken)))
+	is.Equal(err, broken)
+	is.Equal(events, []string{"id: 1\n\n"})
+}
+
+// TestEventsAreComplete guards against bytes that are lost, doubled or reordered.
+func TestEventsAreComplete(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		stream := strings.Join(rapid.SliceOf(rapid.SampledFrom([]string{"id: 7", "data: x", "\n", "\n\n", "\r\n", ":"})).Draw(rt, "pieces"), "")
+		events, _, err := collect(iotest.HalfReader(strings.NewReader(stream)))
+		if err != io.EOF || strings.Join(events, "") != stream {
+			rt.Fatalf("%q became %q", stream, events)
+		}
+	})
+}
--- a/waxfleet/waxlog/writer.go
+++ b/waxfleet/waxlog/writer.go
@@ -12,6 +12,9 @@
 // bytes, so that the queue holds less than a MB.
 const queueLines = 2_048
 
+// batchLines bounds the lines that are written in one call.
+const batchLines = 64
+
 // Writer passes lines to an output from a goroutine of its own. Lines that come
 // while the queue is full are dropped and counted.
 type Writer struct {
@@ -66,21 +69,20 @@
 	}
 }
 
-// flush writes the line and all queued ones in one call. An output that fails
-// has nowhere to report to, so that its lines count as dropped.
+// flush writes the line and up to batchLines queued ones in one call. An output
+// that fails has nowhere to report to, so that its lines count as dropped.
 func (w *Writer) flush(out io.Writer, line []byte) {
-	n := int64(1)
-	for {
+	n := 1
+	for queued := true; queued && n < batchLines; {
 		select {
 		case next := <-w.lines:
 			line = append(line, next...)
 			n++
-			continue
 		default:
+			queued = false
 		}
-		break
 	}
 	if _, err := out.Write(line); err != nil {
-		w.dropped.Add(n)
+		w.dropped.Add(int64(n))
 	}
 }
