--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := waxfleet waxstandin waxrouter waxctl waxload
+MODULES := waxfleet platform waxstandin waxrouter waxctl waxload
 PACKAGES := $(MODULES:%=./%/...)
 TOOLS := $(shell go env GOPATH)/bin
 GOLANGCI_VERSION := v2.15.0
@@ -16,11 +16,11 @@
 	./waxload/waxexperiment ./waxload/waxlatency ./waxrouter
 LIGHT_PACKAGES = $(filter-out $(FLEET_PACKAGES:./%=waxwingdrift.org/%),$(shell go list $(PACKAGES)))
 
-.PHONY: known-red build test race lint format format-check generate tools tidy run fleet bench clean
+.PHONY: known-red build test race fuzz lint format format-check generate tools tidy run fleet platform bench clean
 
 build:
 	@mkdir -p bin
-	go build -o bin/ ./waxrouter ./waxctl ./waxstandin ./waxload
+	go build -o bin/ ./waxrouter ./waxctl ./waxstandin ./waxload ./platform/standin
 
 test: known-red
 	go test -timeout 20m $(SKIP) $(LIGHT_PACKAGES)
@@ -63,6 +63,15 @@
 fleet: build
 	./scripts/fleet
 
+platform: build
+	./scripts/platform
+
+# Each fuzz test for a while with fresh inputs; CI runs the committed ones.
+FUZZ_TIME := 20s
+fuzz:
+	@for f in FuzzHeaders FuzzObjects FuzzSettings; do go test -run '^$$' -fuzz "^$$f$$" -fuzztime $(FUZZ_TIME) ./platform || exit 1; done
+	go test -run '^$$' -fuzz '^FuzzAnswers$$' -fuzztime $(FUZZ_TIME) ./waxfleet/waxpool
+
 bench:
 	go test -run '^$$' -bench . -benchmem $(PACKAGES)
 
