waxfollow, waxreplica, waxpeer: stop following instances that the store turns away

The logs show that the store turned away both instances that watched it; the others went on following their copies until these were 2.2 s old. Ruled out: the changes told in datagrams (nobody had seen any). Change: an instance whose store is lost refuses to pass its copies on at once, and its other feeds check theirs; waits are 600 and 1,200 ms and an answer may take 700 ms, so that a silent store is noticed after 1.3 s. TestLostStore fails before. Also: in fleets above 8 instances those of a failure domain tell each other, and two gateways tell the sums to other failure domains; calls are at least 50 to 1,000 ms apart.

--- a/waxfleet/waxcache/holders.go
+++ b/waxfleet/waxcache/holders.go
@@ -22,6 +22,8 @@
 	// tellings is the number of datagrams that carry a new holding, so that a few
 	// lost ones do no harm.
 	tellings = 3
+	// maxNews bounds the holdings that wait to be told.
+	maxNews = 2_000
 )
 
 // Holding says that an engine holds a part of a prompt.
@@ -85,9 +87,21 @@
 type Holders struct {
 	mu    sync.Mutex
 	parts *lru.Cache[uint64, []uint32]
-	news  []news
+	news  [scopes][]news
 }
 
+// Scope says whom holdings are told.
+type Scope int
+
+// Scopes.
+const (
+	// ToGroup are the instances that are told one by one.
+	ToGroup Scope = iota
+	// ToRemote are the other failure domains of a large fleet.
+	ToRemote
+	scopes = 2
+)
+
 // news is a holding that other instances have to be told.
 type news struct {
 	holding Holding
@@ -135,18 +149,33 @@
 	isNews := false
 	for _, part := range k.parts {
 		if h.add(Holding{Part: part, Server: server}) {
-			h.news = append(h.news, news{holding: Holding{Part: part, Server: server}, left: tellings})
+			h.queue(ToGroup, Holding{Part: part, Server: server})
+			h.queue(ToRemote, Holding{Part: part, Server: server})
 			isNews = true
 		}
 	}
 	return isNews
 }
 
-// Told notes a holding that another instance tells.
-func (h *Holders) Told(holding Holding) {
+// Told notes a holding that another instance tells, and queues it for the scope
+// if it is news. It reports whether it is.
+func (h *Holders) Told(holding Holding, scope Scope) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.add(holding)
+	if !h.add(holding) {
+		return false
+	}
+	h.queue(scope, holding)
+	return true
+}
+
+// queue keeps a holding for the next datagrams; the oldest go first when too many
+// wait. The caller holds the lock.
+func (h *Holders) queue(scope Scope, holding Holding) {
+	h.news[scope] = append(h.news[scope], news{holding: holding, left: tellings})
+	if drop := len(h.news[scope]) - maxNews; drop > 0 {
+		h.news[scope] = slices.Clone(h.news[scope][drop:])
+	}
 }
 
 // add reports whether the holding was unknown.
@@ -180,14 +209,15 @@
 	}
 }
 
-// News returns at most limit holdings for the next datagram.
-func (h *Holders) News(limit int) []Holding {
+// News returns at most limit holdings for the next datagram of a scope.
+func (h *Holders) News(scope Scope, limit int) []Holding {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	n := min(limit, len(h.news))
+	waiting := h.news[scope]
+	n := min(limit, len(waiting))
 	out := make([]Holding, 0, n)
-	kept := make([]news, 0, len(h.news))
-	for i, v := range h.news {
+	kept := make([]news, 0, len(waiting))
+	for i, v := range waiting {
 		if i < n {
 			out = append(out, v.holding)
 			v.left--
@@ -196,7 +226,7 @@
 			kept = append(kept, v)
 		}
 	}
-	h.news = kept
+	h.news[scope] = kept
 	return out
 }
 
--- a/waxfleet/waxcache/holders_test.go
+++ b/waxfleet/waxcache/holders_test.go
@@ -51,16 +51,17 @@
 	h := NewHolders()
 	h.Sent(prompt(school, letter, own), 7)
 	for range tellings {
-		is.Equal(len(h.News(10)), 2)
+		is.Equal(len(h.News(ToGroup, 10)), 2)
 	}
-	is.Equal(len(h.News(10)), 0)
+	is.Equal(len(h.News(ToGroup, 10)), 0)
 
 	other := NewHolders()
 	for _, v := range h.All() {
-		other.Told(v)
+		is.True(other.Told(v, ToRemote))
 	}
 	is.Equal(other.Held(prompt(school, letter, own)), h.Held(prompt(school, letter, own)))
-	is.Equal(len(other.News(10)), 0) // what was told is not told on
+	is.Equal(len(other.News(ToGroup, 10)), 0) // what the group told is not told the group
+	is.Equal(len(other.News(ToRemote, 10)), 2)
 }
 
 // TestNewsAreBounded guards against datagrams that grow beyond a frame.
@@ -70,6 +71,6 @@
 	for i := range 100 {
 		h.Sent(prompt(waxfleet.PromptPart{ID: string(rune('a' + i)), Tokens: 1}, own), 7)
 	}
-	is.Equal(len(h.News(60)), 60)
+	is.Equal(len(h.News(ToGroup, 60)), 60)
 	is.Equal(len(h.All()), 100)
 }
--- a/waxfleet/waxfollow/follower.go
+++ b/waxfleet/waxfollow/follower.go
@@ -18,8 +18,10 @@
 	// firstRetry is the pause after the first failed call.
 	firstRetry = 100 * time.Millisecond
 	// answerTime is how long an answer may take beyond the wait of a watch, in ms.
-	// A slow store takes some hundred ms; a silent connection is given up after it.
-	answerTime waxfleet.Millis = 1_200
+	// A slow store takes some hundred ms. With the shortest wait it bounds how long
+	// a silent store goes unnoticed, which has to stay clearly below the two seconds
+	// within which changes are in force.
+	answerTime waxfleet.Millis = 700
 	// peerAnswerTime is the same for the copy of another instance, in ms.
 	peerAnswerTime waxfleet.Millis = 500
 )
@@ -49,6 +51,9 @@
 	Apply func(b waxfleet.Batch[T], asOf waxfleet.Millis)
 	// PeerFailed is called when a peer's copy can't be followed.
 	PeerFailed func(peer string, err error)
+	// Pace is the least time between two calls, in ms, so that changes which come
+	// close together cost one call.
+	Pace waxfleet.Millis
 	// LongestRetry bounds the pause after a failed call, in ms. The feed with the
 	// shortest one finds out first that the store is back; Kick ends the pauses of
 	// the others.
@@ -99,11 +104,15 @@
 	listed := false
 	for ctx.Err() == nil {
 		source := f.opts.Source()
+		started := f.opts.Clock.Now()
 		next, err := f.step(ctx, source, listed, revision)
 		switch {
 		case err == nil:
 			pause.Reset()
 			listed, revision = true, next
+			if left := f.opts.Pace - (f.opts.Clock.Now() - started); left > 0 {
+				_ = f.opts.Clock.Sleep(ctx, left)
+			}
 		case ctx.Err() != nil || f.wasKicked():
 		case waxfleet.CodeOf(err) == waxfleet.CodeHistoryGone:
 			f.opts.Log.Warn("history gone, listing again", "feed", f.opts.Name, "revision", revision)
--- a/waxfleet/waxforward/server.go
+++ b/waxfleet/waxforward/server.go
@@ -49,14 +49,14 @@
 	return &Servers{clock: clock, protocol: protocol, servers: map[string]*server{}, services: map[string]*service{}}
 }
 
-// Counts returns the own counts by backend server.
-func (s *Servers) Counts() map[string]waxpeer.Count {
+// Counts returns the own counts by the hash of the backend server's name.
+func (s *Servers) Counts() map[uint32]waxpeer.Count {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := map[string]waxpeer.Count{}
+	out := map[uint32]waxpeer.Count{}
 	for id, v := range s.servers {
 		if v.inFlight > 0 {
-			out[id] = waxpeer.Count{InFlight: v.inFlight, Pending: v.pending}
+			out[waxpeer.ServerHash(id)] = waxpeer.Count{InFlight: v.inFlight, Pending: v.pending}
 		}
 	}
 	return out
--- a/waxfleet/waxfront/follow.go
+++ b/waxfleet/waxfront/follow.go
@@ -26,7 +26,13 @@
 // silent connection hides a change. The bounds of the deployment are two to five
 // seconds.
 var feedWaits = map[string]waxfleet.Millis{
-	FeedConfig: 700, FeedServers: 1_800, FeedEvacuations: 3_000, FeedPeers: 20_000,
+	FeedConfig: 600, FeedServers: 1_200, FeedEvacuations: 3_000, FeedPeers: 20_000,
+}
+
+// feedPaces are the least times between two calls, in ms. They are short against
+// the seconds within which a change has to be in force.
+var feedPaces = map[string]waxfleet.Millis{
+	FeedConfig: 50, FeedServers: 150, FeedEvacuations: 150, FeedPeers: 1_000,
 }
 
 const (
@@ -53,12 +59,13 @@
 
 	mu    sync.Mutex
 	kicks map[string]func()
+	lost  map[string]bool
 }
 
 func newCopies(clock *waxfleet.Clock, instance string) *copies {
 	c := &copies{
 		replicas: map[string]*waxreplica.Replica{}, plan: waxreplica.NewPlan(clock, instance),
-		peers: waxreplica.NewPeers(), kicks: map[string]func(){},
+		peers: waxreplica.NewPeers(), kicks: map[string]func(){}, lost: map[string]bool{},
 	}
 	for _, feed := range feedOrder {
 		c.replicas[feed] = waxreplica.New(clock)
@@ -82,6 +89,27 @@
 	}
 }
 
+// setLost notes whether the store answers the calls of a feed. While one of them
+// fails no copy is passed on, and the other feeds find out at once whether theirs
+// fail too.
+func (c *copies) setLost(feed string, lost bool) {
+	c.mu.Lock()
+	c.lost[feed] = lost
+	any := false
+	for _, l := range c.lost {
+		any = any || l
+	}
+	c.mu.Unlock()
+	for _, r := range c.replicas {
+		r.SetLost(any)
+	}
+	for _, other := range feedOrder {
+		if other != feed {
+			c.kick(other)
+		}
+	}
+}
+
 // last returns the revisions of the last changes that were seen.
 func (c *copies) last() []uint64 {
 	out := make([]uint64, len(feedOrder))
@@ -114,10 +142,22 @@
 		apply(b, asOf)
 		waxreplica.Update(f.copies.replicas[name], b, asOf)
 	}
-	opts.LongestRetry = otherRetry
+	opts.Pace, opts.LongestRetry = feedPaces[name], otherRetry
 	if name == FeedConfig {
 		opts.LongestRetry = configRetry
-		opts.Regained = f.kickOthers
+	}
+	lost, regained := opts.Lost, opts.Regained
+	opts.Lost = func(err error) {
+		if lost != nil {
+			lost(err)
+		}
+		f.copies.setLost(name, true)
+	}
+	opts.Regained = func() {
+		if regained != nil {
+			regained()
+		}
+		f.copies.setLost(name, false)
 	}
 	opts.PeerFailed = func(peer string, _ error) { f.copies.plan.Failed(peer) }
 	opts.Source = func() waxfollow.Source[T] {
@@ -135,28 +175,23 @@
 	f.copies.setKick(name, waxfollow.New(ctx, opts).Kick)
 }
 
-// kickOthers ends the pauses of the other feeds once the store is back.
-func (f *Front) kickOthers() {
-	for _, feed := range feedOrder {
-		if feed != FeedConfig {
-			f.copies.kick(feed)
-		}
-	}
-}
-
 // source returns the instance to follow with its address, or "" for the store.
+// Only instances of the own group are followed.
 func (f *Front) source() (peer, address string) {
-	f.mu.Lock()
-	addresses := f.addresses
-	f.mu.Unlock()
+	group := f.exchanger.Topology().Group
 	var alive []string
-	for name := range addresses {
-		if name != f.opts.Settings.Instance && f.loads.Alive(name) {
-			alive = append(alive, name)
+	for _, p := range group {
+		if f.loads.Alive(p.Name) {
+			alive = append(alive, p.Name)
 		}
 	}
 	peer = f.copies.plan.Source(alive)
-	return peer, addresses[peer]
+	for _, p := range group {
+		if p.Name == peer {
+			return peer, p.Address
+		}
+	}
+	return "", ""
 }
 
 // watchBehind asks the store when other instances have seen changes that are
--- a/waxfleet/waxfront/front.go
+++ b/waxfleet/waxfront/front.go
@@ -8,6 +8,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -79,7 +80,6 @@
 
 	mu        sync.Mutex
 	instances []string
-	addresses map[string]string
 	ready     bool
 
 	stopAt   atomic.Int64
@@ -93,7 +93,7 @@
 	f.bounds.Store(&s.Bounds)
 	f.directory = waxdirectory.New(opts.Clock)
 	f.servers = waxforward.NewServers(opts.Clock, opts.Protocol)
-	f.loads = waxpeer.NewLoads(opts.Clock)
+	f.loads = waxpeer.NewLoads(opts.Clock, s.FailureDomain)
 	f.holders = waxcache.NewHolders()
 	f.metrics = newMetrics(ctx, s.Instance)
 	f.forwarder = waxforward.New(waxforward.Options{
@@ -104,7 +104,7 @@
 	var err error
 	f.copies = newCopies(opts.Clock, s.Instance)
 	f.exchanger, err = waxpeer.NewExchanger(ctx, f.loads, waxpeer.Options{
-		Instance: s.Instance, Address: f.peerAddress(), Clock: opts.Clock, Log: opts.Log, Counts: f.servers.Counts, Holders: f.holders,
+		Self: waxpeer.Peer{Name: s.Instance, FailureDomain: s.FailureDomain, Address: f.peerAddress()}, Clock: opts.Clock, Log: opts.Log, Counts: f.servers.Counts, Holders: f.holders,
 		Revisions: f.copies.last,
 	})
 	if err != nil {
@@ -321,32 +321,31 @@
 
 // peers returns the function that applies changes to the registry of instances.
 func (f *Front) peers() func(waxfleet.Batch[waxfleet.PeerEntry], waxfleet.Millis) {
-	addresses := map[string]string{}
+	entries := map[string]waxpeer.Peer{}
 	return func(b waxfleet.Batch[waxfleet.PeerEntry], _ waxfleet.Millis) {
 		if !b.Full && len(b.Records) == 0 {
 			return
 		}
 		if b.Full {
-			addresses = map[string]string{}
+			entries = map[string]waxpeer.Peer{}
 		}
 		for _, r := range b.Records {
 			if r.Deleted || !r.Readable {
-				delete(addresses, r.Name)
+				delete(entries, r.Name)
 				continue
 			}
-			addresses[r.Name] = r.Value.Address
+			entries[r.Name] = waxpeer.Peer{Name: r.Name, FailureDomain: r.Value.FailureDomain, Address: r.Value.Address}
 		}
 		names := []string{f.opts.Settings.Instance}
-		for name := range addresses {
+		for name := range entries {
 			if name != f.opts.Settings.Instance {
 				names = append(names, name)
 			}
 		}
 		f.mu.Lock()
 		f.instances = names
-		f.addresses = maps.Clone(addresses)
 		f.mu.Unlock()
-		f.exchanger.SetPeers(addresses)
+		f.exchanger.SetPeers(slices.Collect(maps.Values(entries)))
 		f.log.Info("instances changed", "instances", len(names), "revision", b.Revision)
 	}
 }
--- a/waxfleet/waxpeer/exchanger.go
+++ b/waxfleet/waxpeer/exchanger.go
@@ -17,11 +17,12 @@
 )
 
 const (
-	// sendInterval is the least time between two datagrams to a peer, in ms, with
-	// up to smallFleet instances. It grows in proportion with more, so that the
-	// bytes that an instance sends stay the same.
-	sendInterval waxfleet.Millis = 200
-	smallFleet                   = 8
+	// groupInterval and remoteInterval are the least times between two datagrams to
+	// an instance of the own group and to another failure domain, in ms. A decision
+	// on counts of this age stays within the load bound, whose slack is three
+	// requests.
+	groupInterval  waxfleet.Millis = 200
+	remoteInterval waxfleet.Millis = 400
 	// repeatInterval is the longest time between two datagrams with the same
 	// counts, in ms; peers drop counts that are older than silence.
 	repeatInterval waxfleet.Millis = 1_000
@@ -39,70 +40,90 @@
 
 // Options configure an Exchanger.
 type Options struct {
-	Instance string
-	// Address is "ip:port" for datagrams.
-	Address string
-	Clock   *waxfleet.Clock
-	Log     *slog.Logger
-	// Counts returns the own counts by backend server.
-	Counts func() map[string]Count
+	Self  Peer
+	Clock *waxfleet.Clock
+	Log   *slog.Logger
+	// Counts returns the own counts by the hash of the backend server's name.
+	Counts func() map[uint32]Count
 	// Revisions returns the revisions of the last changes that were seen, by feed.
 	Revisions func() []uint64
 	// Holders is the table of the engines' caches.
 	Holders *waxcache.Holders
 }
 
-// Exchanger sends the own counts to all peers and receives theirs.
+// Exchanger sends the own counts to other instances and receives theirs.
 type Exchanger struct {
 	opts  Options
 	loads *Loads
 	conn  *net.UDPConn
+	start int64
+	news  chan struct{}
 
-	mu       sync.Mutex
-	peers    map[string]*net.UDPAddr
-	sequence uint64
-	start    int64
-	news     chan struct{}
+	mu        sync.Mutex
+	peers     []Peer
+	addresses map[string]*net.UDPAddr
+	sequence  uint64
 }
 
 // NewExchanger opens the datagram address and runs until ctx ends.
 func NewExchanger(ctx context.Context, loads *Loads, opts Options) (*Exchanger, error) {
-	addr, err := net.ResolveUDPAddr("udp4", opts.Address)
+	addr, err := net.ResolveUDPAddr("udp4", opts.Self.Address)
 	if err != nil {
-		return nil, waxfleet.WrapError(err, waxfleet.CodeSettingInvalid, "the datagram address is %q; allowed: ip:port", opts.Address)
+		return nil, waxfleet.WrapError(err, waxfleet.CodeSettingInvalid, "the datagram address is %q; allowed: ip:port", opts.Self.Address)
 	}
 	conn, err := net.ListenUDP("udp4", addr)
 	if err != nil {
-		return nil, waxfleet.WrapError(err, waxfleet.CodeSettingInvalid, "the datagram address %q can't be opened", opts.Address)
+		return nil, waxfleet.WrapError(err, waxfleet.CodeSettingInvalid, "the datagram address %q can't be opened", opts.Self.Address)
+	}
+	e := &Exchanger{
+		opts: opts, loads: loads, conn: conn, start: int64(opts.Clock.Wall()), news: make(chan struct{}, 1),
+		addresses: map[string]*net.UDPAddr{},
 	}
-	e := &Exchanger{opts: opts, loads: loads, conn: conn, peers: map[string]*net.UDPAddr{}, start: int64(opts.Clock.Wall()), news: make(chan struct{}, 1)}
 	context.AfterFunc(ctx, func() { _ = conn.Close() })
 	go func() { e.receive(ctx) }()
-	go func() { e.send(ctx) }()
+	go func() { e.tellGroup(ctx) }()
+	go func() { e.tellRemote(ctx) }()
 	return e, nil
 }
 
-// SetPeers replaces the peers, by name; the own name is left out.
-func (e *Exchanger) SetPeers(addresses map[string]string) {
-	peers := make(map[string]*net.UDPAddr, len(addresses))
-	for name, address := range addresses {
-		if name == e.opts.Instance {
+// SetPeers replaces the other instances; the own one is left out.
+func (e *Exchanger) SetPeers(peers []Peer) {
+	var others []Peer
+	addresses := make(map[string]*net.UDPAddr, len(peers))
+	for _, p := range peers {
+		if p.Name == e.opts.Self.Name {
 			continue
 		}
-		addr, err := net.ResolveUDPAddr("udp4", address)
+		addr, err := net.ResolveUDPAddr("udp4", p.Address)
 		if err != nil {
-			e.opts.Log.Warn("peer address unreadable", "peer", name, "address", address)
+			e.opts.Log.Warn("peer address unreadable", "peer", p.Name, "address", p.Address)
 			continue
 		}
-		peers[name] = addr
+		others, addresses[p.Name] = append(others, p), addr
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.peers = peers
+	e.peers, e.addresses = others, addresses
+}
+
+// Topology returns whom the instance tells now.
+func (e *Exchanger) Topology() Topology {
+	e.mu.Lock()
+	peers := e.peers
+	e.mu.Unlock()
+	return Plan(e.opts.Self, peers, e.loads.Alive)
+}
+
+// News asks for a datagram soon, because there are new holdings.
+func (e *Exchanger) News() {
+	select {
+	case e.news <- struct{}{}:
+	default:
+	}
 }
 
 func (e *Exchanger) receive(ctx context.Context) {
-	buf := make([]byte, maxDatagram*2)
+	buf := make([]byte, maxDatagram*4)
 	for {
 		n, _, err := e.conn.ReadFromUDP(buf)
 		if err != nil {
@@ -116,46 +137,67 @@
 			e.opts.Log.Warn("datagram unreadable", "bytes", n, "error", err.Error())
 			continue
 		}
-		for i, part := range d.GetHeldParts() {
-			if i < len(d.GetHolders()) {
-				e.opts.Holders.Told(waxcache.Holding{Part: part, Server: d.GetHolders()[i]})
-			}
-		}
-		if !d.GetHoldingsOnly() && e.loads.Take(&d) {
-			e.tellAll(d.GetInstance())
-		}
+		e.take(&d)
 	}
 }
 
-// News asks for a datagram soon, because there are new holdings.
-func (e *Exchanger) News() {
-	select {
-	case e.news <- struct{}{}:
-	default:
+// take applies a datagram. Holdings from another failure domain are told to the
+// own one, and those of the own one to the others.
+func (e *Exchanger) take(d *waxwire.LoadDatagram) {
+	scope := waxcache.ToRemote
+	if d.GetOwn() == nil {
+		scope = waxcache.ToGroup
+	}
+	fresh := false
+	for i, part := range d.GetHeldParts() {
+		if i < len(d.GetHolders()) {
+			fresh = e.opts.Holders.Told(waxcache.Holding{Part: part, Server: d.GetHolders()[i]}, scope) || fresh
+		}
+	}
+	if fresh && scope == waxcache.ToGroup {
+		e.News()
+	}
+	if d.GetSequence() == 0 {
+		return
+	}
+	if e.loads.Take(d) {
+		e.tellAll(d.GetInstance())
 	}
 }
 
-func (e *Exchanger) send(ctx context.Context) {
-	var last map[string]Count
+// tellGroup tells the instances that are told one by one.
+func (e *Exchanger) tellGroup(ctx context.Context) {
+	var last map[uint32]Count
 	var lastRevisions []uint64
 	var lastAt waxfleet.Millis
-	for {
-		peers := e.peerList()
-		pause := sendInterval
-		if n := len(peers) + 1; n > smallFleet {
-			pause = sendInterval * waxfleet.Millis(n) / smallFleet
-		}
-		if !e.wait(ctx, pause) {
-			return
-		}
+	for e.wait(ctx, groupInterval) {
 		counts, revisions := e.opts.Counts(), e.opts.Revisions()
-		holdings := e.opts.Holders.News(maxHoldings)
+		holdings := e.opts.Holders.News(waxcache.ToGroup, maxHoldings)
+		relayed := e.loads.relayed()
 		now := e.opts.Clock.Now()
-		if now-lastAt < repeatInterval && len(holdings) == 0 && maps.Equal(counts, last) && slices.Equal(revisions, lastRevisions) {
+		if now-lastAt < repeatInterval && len(holdings) == 0 && len(relayed) == 0 &&
+			maps.Equal(counts, last) && slices.Equal(revisions, lastRevisions) {
 			continue
 		}
 		last, lastRevisions, lastAt = counts, revisions, now
-		e.broadcast(peers, counts, holdings)
+		d := e.datagram(holdings, true)
+		d.Own = encode(HashOf(e.opts.Self.FailureDomain), 0, counts)
+		d.Domains = relayed
+		e.write(e.Topology().Group, d)
+	}
+}
+
+// tellRemote tells other failure domains, if the instance is a gateway.
+func (e *Exchanger) tellRemote(ctx context.Context) {
+	for e.opts.Clock.Sleep(ctx, remoteInterval) == nil {
+		t := e.Topology()
+		holdings := e.opts.Holders.News(waxcache.ToRemote, maxHoldings)
+		if !t.Gateway || len(t.Remote) == 0 {
+			continue
+		}
+		d := e.datagram(holdings, true)
+		d.Domains = []*waxwire.Counts{e.loads.domainSum(e.opts.Counts())}
+		e.write(t.Remote, d)
 	}
 }
 
@@ -177,29 +219,37 @@
 // tellAll sends all holdings to an instance that has just started, if this
 // instance is one of its tellers.
 func (e *Exchanger) tellAll(instance uint64) {
-	e.mu.Lock()
-	var to *net.UDPAddr
+	var to *Peer
 	before := 0
-	mine := HashOf(e.opts.Instance) ^ instance
-	for name, addr := range e.peers {
-		switch hash := HashOf(name); {
+	mine := HashOf(e.opts.Self.Name) ^ instance
+	for _, p := range e.Topology().Group {
+		switch hash := HashOf(p.Name); {
 		case hash == instance:
-			to = addr
+			to = &p
 		case hash^instance < mine:
 			before++
 		}
 	}
-	e.mu.Unlock()
 	if to == nil || before >= tellers {
 		return
 	}
 	for holdings := range slices.Chunk(e.opts.Holders.All(), maxHoldings) {
-		e.write([]*net.UDPAddr{to}, datagram(e.opts.Instance, e.start, holdings, true))
+		d := e.datagram(holdings, false)
+		d.Own = &waxwire.Counts{}
+		e.write([]Peer{*to}, d)
 	}
 }
 
-func datagram(instance string, start int64, holdings []waxcache.Holding, only bool) *waxwire.LoadDatagram {
-	d := &waxwire.LoadDatagram{Instance: HashOf(instance), Incarnation: start, HoldingsOnly: only}
+// datagram returns one with holdings. Without a sequence number its counts are
+// not used.
+func (e *Exchanger) datagram(holdings []waxcache.Holding, counted bool) *waxwire.LoadDatagram {
+	d := &waxwire.LoadDatagram{Instance: HashOf(e.opts.Self.Name), Incarnation: e.start, Revisions: e.opts.Revisions()}
+	if counted {
+		e.mu.Lock()
+		e.sequence++
+		d.Sequence = e.sequence
+		e.mu.Unlock()
+	}
 	for _, h := range holdings {
 		d.HeldParts = append(d.HeldParts, h.Part)
 		d.Holders = append(d.Holders, h.Server)
@@ -207,36 +257,20 @@
 	return d
 }
 
-func (e *Exchanger) peerList() []*net.UDPAddr {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return slices.Collect(maps.Values(e.peers))
-}
-
-func (e *Exchanger) broadcast(peers []*net.UDPAddr, counts map[string]Count, holdings []waxcache.Holding) {
-	e.sequence++
-	d := datagram(e.opts.Instance, e.start, holdings, false)
-	d.Sequence = e.sequence
-	d.Revisions = e.opts.Revisions()
-	for id, c := range counts {
-		d.Servers = append(d.Servers, ServerHash(id))
-		d.InFlight = append(d.InFlight, uint32(c.InFlight))
-		d.PendingTokens = append(d.PendingTokens, uint32(c.Pending))
-	}
-	e.write(peers, d)
-}
-
-func (e *Exchanger) write(peers []*net.UDPAddr, d *waxwire.LoadDatagram) {
+func (e *Exchanger) write(peers []Peer, d *waxwire.LoadDatagram) {
 	raw, err := proto.Marshal(d)
 	if err != nil {
 		e.opts.Log.Error("datagram can't be encoded", "error", err.Error())
 		return
 	}
-	for _, addr := range peers {
+	e.mu.Lock()
+	addresses := e.addresses
+	e.mu.Unlock()
+	for _, p := range peers {
 		// A lost datagram is replaced by the next one, so that errors of single
 		// sends, such as an unreachable network, need no action.
-		if _, err := e.conn.WriteToUDP(raw, addr); err != nil {
-			e.opts.Log.Debug("datagram not sent", "peer", addr.String(), "error", err.Error())
+		if _, err := e.conn.WriteToUDP(raw, addresses[p.Name]); err != nil {
+			e.opts.Log.Debug("datagram not sent", "peer", p.Name, "error", err.Error())
 		}
 	}
 }
--- a/waxfleet/waxpeer/loads.go
+++ b/waxfleet/waxpeer/loads.go
@@ -11,9 +11,15 @@
 	"waxwingdrift.org/waxfleet/waxwire"
 )
 
-// silence is how long the counts of a silent instance are used, in ms. It covers
-// a few lost datagrams; the work of an instance that died ends with it.
-const silence waxfleet.Millis = 2_500
+const (
+	// silence is how long the counts of a silent instance or failure domain are
+	// used, in ms. It covers a few lost datagrams; the work of an instance that died
+	// ends with it.
+	silence waxfleet.Millis = 2_500
+	// relayAge is the age up to which the counts of another failure domain are
+	// passed on, in ms.
+	relayAge waxfleet.Millis = 1_000
+)
 
 // HashOf returns the hash under which a name stands in datagrams.
 func HashOf(name string) uint64 { return xxhash.Sum64String(name) }
@@ -22,63 +28,108 @@
 // one hash would count each other's load, which is harmless.
 func ServerHash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
+// Count is what one or more instances have at one backend server.
+type Count struct {
+	// InFlight is the number of requests there.
+	InFlight int
+	// Pending is the number of prompt tokens of those whose answers have not begun.
+	Pending int
+}
+
+// counts holds the counts of an instance or of a failure domain.
+type counts struct {
+	at       waxfleet.Millis
+	byServer map[uint32]Count
+	// direct is true when they came from an instance of that failure domain.
+	direct bool
+}
+
 // report is the last datagram of one instance.
 type report struct {
+	counts
 	incarnation int64
 	sequence    uint64
-	at          waxfleet.Millis
-	counts      map[uint32]Count
 	revisions   []uint64
 }
 
-// Count is what an instance has at one backend server.
-type Count struct {
-	// InFlight is the number of its requests there.
-	InFlight int
-	// Pending is the number of prompt tokens of those whose answers have not begun.
-	Pending int
-}
-
-// Loads holds the counts of all other instances. It is safe for concurrent use.
+// Loads holds the counts of all other instances: those of the own group one by
+// one, those of other failure domains as sums. It is safe for concurrent use.
 type Loads struct {
-	clock *waxfleet.Clock
+	clock  *waxfleet.Clock
+	domain uint64
 
 	mu      sync.Mutex
 	reports map[uint64]report
+	domains map[uint64]counts
 }
 
-// NewLoads returns an empty table.
-func NewLoads(clock *waxfleet.Clock) *Loads {
-	return &Loads{clock: clock, reports: map[uint64]report{}}
+// NewLoads returns an empty table for an instance of the failure domain.
+func NewLoads(clock *waxfleet.Clock, failureDomain string) *Loads {
+	return &Loads{clock: clock, domain: HashOf(failureDomain), reports: map[uint64]report{}, domains: map[uint64]counts{}}
 }
 
-// Take applies the counts of a datagram and reports whether its sender is a new
-// incarnation.
+// Take applies a datagram and reports whether its sender is a new incarnation of
+// an instance of the own group.
 func (l *Loads) Take(d *waxwire.LoadDatagram) (started bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := l.clock.Now()
 	old, known := l.reports[d.GetInstance()]
 	if known && (d.GetIncarnation() < old.incarnation ||
 		d.GetIncarnation() == old.incarnation && d.GetSequence() <= old.sequence) {
 		return false
 	}
-	r := report{
-		incarnation: d.GetIncarnation(), sequence: d.GetSequence(), at: l.clock.Now(),
-		revisions: d.GetRevisions(),
-		counts:    make(map[uint32]Count, len(d.GetServers())),
+	r := report{incarnation: d.GetIncarnation(), sequence: d.GetSequence(), revisions: d.GetRevisions()}
+	r.at = now
+	r.byServer = decode(d.GetOwn())
+	l.reports[d.GetInstance()] = r
+	for _, c := range d.GetDomains() {
+		if c.GetDomain() == l.domain {
+			continue
+		}
+		at := now - waxfleet.Millis(max(c.GetAgeMs(), 0))
+		if at > l.domains[c.GetDomain()].at {
+			l.domains[c.GetDomain()] = counts{at: at, byServer: decode(c), direct: d.GetOwn() == nil}
+		}
 	}
-	for i, server := range d.GetServers() {
-		var c Count
-		if i < len(d.GetInFlight()) {
-			c.InFlight = int(d.GetInFlight()[i])
+	return d.GetOwn() != nil && (!known || old.incarnation != r.incarnation)
+}
+
+func decode(c *waxwire.Counts) map[uint32]Count {
+	out := make(map[uint32]Count, len(c.GetServers()))
+	for i, server := range c.GetServers() {
+		var one Count
+		if i < len(c.GetInFlight()) {
+			one.InFlight = int(c.GetInFlight()[i])
 		}
-		if i < len(d.GetPendingTokens()) {
-			c.Pending = int(d.GetPendingTokens()[i])
+		if i < len(c.GetPendingTokens()) {
+			one.Pending = int(c.GetPendingTokens()[i])
 		}
-		r.counts[server] = c
+		out[server] = one
+	}
+	return out
+}
+
+func encode(domain uint64, age waxfleet.Millis, byServer map[uint32]Count) *waxwire.Counts {
+	c := &waxwire.Counts{Domain: domain, AgeMs: int64(age)}
+	for server, one := range byServer {
+		if one.InFlight <= 0 {
+			continue
+		}
+		c.Servers = append(c.Servers, server)
+		c.InFlight = append(c.InFlight, uint32(one.InFlight))
+		c.PendingTokens = append(c.PendingTokens, uint32(max(one.Pending, 0)))
+	}
+	return c
+}
+
+func add(out, more map[uint32]Count) {
+	for server, c := range more {
+		sum := out[server]
+		sum.InFlight += c.InFlight
+		sum.Pending += c.Pending
+		out[server] = sum
 	}
-	l.reports[d.GetInstance()] = r
-	return !known || old.incarnation != r.incarnation
 }
 
 // Counts returns what all other instances that were heard lately have at the
@@ -86,23 +137,53 @@
 func (l *Loads) Counts() map[uint32]Count {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now, out := l.clock.Now(), l.group()
+	for _, c := range l.domains {
+		if now-c.at < silence {
+			add(out, c.byServer)
+		}
+	}
+	return out
+}
+
+// group sums the counts of the instances that report one by one. The caller holds
+// the lock.
+func (l *Loads) group() map[uint32]Count {
 	now, out := l.clock.Now(), map[uint32]Count{}
 	for _, r := range l.reports {
-		if now-r.at >= silence {
-			continue
+		if now-r.at < silence {
+			add(out, r.byServer)
 		}
-		for server, c := range r.counts {
-			sum := out[server]
-			sum.InFlight += c.InFlight
-			sum.Pending += c.Pending
-			out[server] = sum
+	}
+	return out
+}
+
+// domainSum returns the counts of the own failure domain with the own ones.
+func (l *Loads) domainSum(own map[uint32]Count) *waxwire.Counts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sum := l.group()
+	add(sum, own)
+	return encode(l.domain, 0, sum)
+}
+
+// relayed returns the counts of other failure domains that came from there
+// directly, for the instances of the own one.
+func (l *Loads) relayed() []*waxwire.Counts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []*waxwire.Counts
+	now := l.clock.Now()
+	for domain, c := range l.domains {
+		if c.direct && now-c.at < relayAge {
+			out = append(out, encode(domain, now-c.at, c.byServer))
 		}
 	}
 	return out
 }
 
 // Heard returns the number of instances that were heard lately, and the age of
-// the oldest of their counts.
+// the oldest counts in use.
 func (l *Loads) Heard() (instances int, oldest waxfleet.Millis) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -113,6 +194,11 @@
 			oldest = max(oldest, age)
 		}
 	}
+	for _, c := range l.domains {
+		if age := now - c.at; age < silence {
+			oldest = max(oldest, age)
+		}
+	}
 	return instances, oldest
 }
 
--- a/waxfleet/waxpeer/peer_test.go
+++ b/waxfleet/waxpeer/peer_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -15,10 +17,11 @@
 	"waxwingdrift.org/waxfleet/waxwire"
 )
 
-func counts(incarnation int64, sequence uint64, inFlight, pending uint32) *waxwire.LoadDatagram {
+func counted(incarnation int64, sequence uint64, inFlight, pending uint32) *waxwire.LoadDatagram {
 	return &waxwire.LoadDatagram{
 		Instance: HashOf("r1"), Incarnation: incarnation, Sequence: sequence,
-		Servers: []uint32{ServerHash("e1")}, InFlight: []uint32{inFlight}, PendingTokens: []uint32{pending}, Revisions: []uint64{9, 4},
+		Own:       &waxwire.Counts{Servers: []uint32{ServerHash("e1")}, InFlight: []uint32{inFlight}, PendingTokens: []uint32{pending}},
+		Revisions: []uint64{9, 4},
 	}
 }
 
@@ -27,16 +30,16 @@
 func TestLoads(t *testing.T) {
 	is := is.New(t)
 	clock := waxfleet.NewManualClock(1_000)
-	l := NewLoads(clock)
-	is.True(l.Take(counts(5, 2, 3, 900)))
-	is.True(!l.Take(counts(5, 1, 7, 0))) // late
+	l := NewLoads(clock, "caerdydd")
+	is.True(l.Take(counted(5, 2, 3, 900)))
+	is.True(!l.Take(counted(5, 1, 7, 0))) // late
 	is.Equal(l.Counts()[ServerHash("e1")], Count{InFlight: 3, Pending: 900})
 	is.True(l.Alive("r1"))
 	is.True(!l.Alive("r2"))
 	is.Equal(l.Revisions(), []uint64{9, 4})
 
-	is.True(l.Take(counts(6, 1, 1, 0))) // started again
-	is.True(!l.Take(counts(5, 3, 9, 0)))
+	is.True(l.Take(counted(6, 1, 1, 0))) // started again
+	is.True(!l.Take(counted(5, 3, 9, 0)))
 	is.Equal(l.Counts()[ServerHash("e1")].InFlight, 1)
 
 	clock.Advance(silence)
@@ -56,20 +59,20 @@
 	key := waxcache.NewKey([]waxfleet.PromptPart{{ID: "a", Tokens: 500}, {ID: "own", Tokens: 5}})
 	addresses := map[string]string{"r1": free(t), "r2": free(t)}
 	start := func(name string, holders *waxcache.Holders, inFlight int) *Loads {
-		loads := NewLoads(clock)
+		loads := NewLoads(clock, "caerdydd")
 		e, err := NewExchanger(ctx, loads, Options{
-			Instance: name, Address: addresses[name], Clock: clock, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
-			Counts:    func() map[string]Count { return map[string]Count{"e1": {InFlight: inFlight}} },
+			Self: Peer{Name: name, FailureDomain: "caerdydd", Address: addresses[name]}, Clock: clock, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+			Counts:    func() map[uint32]Count { return map[uint32]Count{ServerHash("e1"): {InFlight: inFlight}} },
 			Revisions: func() []uint64 { return []uint64{uint64(inFlight)} }, Holders: holders,
 		})
 		is.NoErr(err)
-		e.SetPeers(addresses)
+		e.SetPeers([]Peer{{Name: "r1", FailureDomain: "caerdydd", Address: addresses["r1"]}, {Name: "r2", FailureDomain: "caerdydd", Address: addresses["r2"]}})
 		return loads
 	}
 	early, late := waxcache.NewHolders(), waxcache.NewHolders()
 	early.Sent(key, 7)
 	for range 10 {
-		early.News(10) // was told before the other instance started
+		early.News(waxcache.ToGroup, 10) // was told before the other instance started
 	}
 	first := start("r1", early, 2)
 	second := start("r2", late, 5)
@@ -92,3 +95,63 @@
 	defer func() { _ = c.Close() }()
 	return c.LocalAddr().String()
 }
+
+// TestDomainSums guards against load of other failure domains that is missing or
+// counted twice, and against sums that outlive their senders.
+func TestDomainSums(t *testing.T) {
+	is := is.New(t)
+	clock := waxfleet.NewManualClock(10_000)
+	gateway, member := NewLoads(clock, "caerdydd"), NewLoads(clock, "caerdydd")
+	abertawe := NewLoads(clock, "abertawe")
+	abertawe.Take(counted(1, 1, 4, 100))
+	sum := &waxwire.LoadDatagram{
+		Instance: HashOf("a1"), Incarnation: 1, Sequence: 1,
+		Domains: []*waxwire.Counts{abertawe.domainSum(map[uint32]Count{ServerHash("e1"): {InFlight: 2, Pending: 50}})},
+	}
+	is.True(!gateway.Take(sum)) // an instance of another failure domain needs no holdings
+	is.Equal(gateway.Counts()[ServerHash("e1")], Count{InFlight: 6, Pending: 150})
+
+	clock.Advance(400)
+	relay := &waxwire.LoadDatagram{Instance: HashOf("c1"), Incarnation: 1, Sequence: 1, Own: &waxwire.Counts{}, Domains: gateway.relayed()}
+	member.Take(relay)
+	is.Equal(member.Counts()[ServerHash("e1")].InFlight, 6)
+	is.Equal(len(member.relayed()), 0) // what was relayed is not relayed again
+	_, oldest := member.Heard()
+	is.Equal(oldest, waxfleet.Millis(400))
+
+	clock.Advance(silence - 400)
+	is.Equal(len(member.Counts()), 0)
+	is.Equal(len(gateway.relayed()), 0)
+}
+
+// TestTopology guards against a failure domain that nobody tells, also while
+// gateways are down, and against a large fleet in which all tell all.
+func TestTopology(t *testing.T) {
+	is := is.New(t)
+	var all []Peer
+	for i := range 68 {
+		all = append(all, Peer{Name: fmt.Sprintf("r%d", i), FailureDomain: fmt.Sprintf("d%d", i%4)})
+	}
+	for _, dead := range []int{0, 1, 5} {
+		alive := func(name string) bool {
+			n := 0
+			_, err := fmt.Sscanf(name, "r%d", &n)
+			return err == nil && n%17 >= dead
+		}
+		senders := map[string]int{}
+		for i, self := range all {
+			if !alive(self.Name) {
+				continue
+			}
+			topology := Plan(self, slices.Delete(slices.Clone(all), i, i+1), alive)
+			is.Equal(len(topology.Group), 16)
+			is.Equal(topology.Gateway, len(topology.Remote) > 0)
+			if topology.Gateway {
+				senders[self.FailureDomain]++
+				is.Equal(len(topology.Remote), 3*receivers)
+			}
+		}
+		is.Equal(senders, map[string]int{"d0": gateways, "d1": gateways, "d2": gateways, "d3": gateways})
+	}
+	is.Equal(len(Plan(all[0], all[1:7], nil).Group), 6)
+}
--- /dev/null
+++ b/waxfleet/waxpeer/topology.go
@@ -0,0 +1,74 @@
+package waxpeer
+
+import (
+	"cmp"
+	"slices"
+)
+
+const (
+	// meshSize is the largest fleet in which every instance tells every other. In
+	// larger ones instances tell those of their own failure domain, and gateways
+	// tell the sums to other failure domains, so that the bytes between failure
+	// domains do not grow with the square of the fleet.
+	meshSize = 8
+	// gateways is the number of instances of a failure domain that tell others.
+	gateways = 2
+	// receivers is the number of instances of a failure domain that are told. One
+	// more than there are gateways, because the sender does not know which live.
+	receivers = 3
+)
+
+// Peer is another instance.
+type Peer struct {
+	Name          string
+	FailureDomain string
+	// Address is "ip:port" for datagrams.
+	Address string
+}
+
+// Topology says whom an instance tells what.
+type Topology struct {
+	// Group is told the own counts.
+	Group []Peer
+	// Remote is told the sums of the own failure domain; only gateways do so.
+	Remote []Peer
+	// Gateway is true when the instance is a gateway of its failure domain.
+	Gateway bool
+}
+
+// Plan returns the topology of an instance. peers holds all others, alive says
+// which of them were heard lately.
+func Plan(self Peer, peers []Peer, alive func(name string) bool) Topology {
+	if len(peers)+1 <= meshSize {
+		return Topology{Group: peers}
+	}
+	var t Topology
+	rivals := 0
+	remote := map[string][]Peer{}
+	for _, p := range peers {
+		if p.FailureDomain != self.FailureDomain {
+			remote[p.FailureDomain] = append(remote[p.FailureDomain], p)
+			continue
+		}
+		t.Group = append(t.Group, p)
+		if alive(p.Name) && before(p, self) {
+			rivals++
+		}
+	}
+	t.Gateway = rivals < gateways
+	if !t.Gateway {
+		return t
+	}
+	for _, members := range remote {
+		slices.SortFunc(members, func(a, b Peer) int {
+			return cmp.Or(cmp.Compare(HashOf(a.Name), HashOf(b.Name)), cmp.Compare(a.Name, b.Name))
+		})
+		t.Remote = append(t.Remote, members[:min(receivers, len(members))]...)
+	}
+	return t
+}
+
+// before is the order in which instances become gateways.
+func before(a, b Peer) bool {
+	return cmp.Or(cmp.Compare(HashOf(a.Name), HashOf(b.Name)), cmp.Compare(a.Name, b.Name)) < 0
+}
--- a/waxfleet/waxreplica/plan.go
+++ b/waxfleet/waxreplica/plan.go
@@ -11,11 +11,10 @@
 )
 
 const (
-	// smallFleet is the largest number of instances with fewWatchers watchers of
-	// the store; larger fleets have moreWatchers.
-	smallFleet   = 16
-	fewWatchers  = 2
-	moreWatchers = 4
+	// watchers is the number of instances that watch the store, in a small fleet or
+	// in each failure domain of a large one. With two, the loss of one is noticed by
+	// the changes that the other tells.
+	watchers = 2
 	// directTime is how long an instance watches the store itself after the copies
 	// of others have failed it, in ms.
 	directTime waxfleet.Millis = 5_000
@@ -23,13 +22,9 @@
 	avoidTime waxfleet.Millis = 10_000
 )
 
-// Watchers returns the instances that watch the store, out of those that live.
-// All instances that see the same ones alive agree.
+// Watchers returns the instances of a group that watch the store, out of those
+// that live. All instances that see the same ones alive agree.
 func Watchers(alive []string) []string {
-	n := fewWatchers
-	if len(alive) > smallFleet {
-		n = moreWatchers
-	}
 	order := slices.Clone(alive)
 	slices.SortFunc(order, func(a, b string) int {
 		if c := cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)); c != 0 {
@@ -37,7 +32,7 @@
 		}
 		return cmp.Compare(a, b)
 	})
-	return order[:min(n, len(order))]
+	return order[:min(watchers, len(order))]
 }
 
 // Plan decides whether an instance watches the store itself or follows the copy
@@ -66,12 +61,12 @@
 	if now < p.directUntil {
 		return ""
 	}
-	watchers := Watchers(append(slices.Clone(alive), p.instance))
-	if slices.Contains(watchers, p.instance) {
+	chosen := Watchers(append(slices.Clone(alive), p.instance))
+	if slices.Contains(chosen, p.instance) {
 		return ""
 	}
 	best, bestRank := "", uint64(0)
-	for _, w := range watchers {
+	for _, w := range chosen {
 		if now < p.avoidUntil[w] {
 			continue
 		}
--- a/waxfleet/waxreplica/replica.go
+++ b/waxfleet/waxreplica/replica.go
@@ -31,6 +31,7 @@
 	// asOf is the clock time at which the store had this state for certain.
 	asOf    waxfleet.Millis
 	loaded  bool
+	lost    bool
 	changed chan struct{}
 }
 
@@ -85,6 +86,18 @@
 	}
 }
 
+// SetLost notes whether the store answers this instance. Without it, the copy is
+// not passed on, so that those who follow it look elsewhere.
+func (r *Replica) SetLost(lost bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lost = lost
+	if lost {
+		close(r.changed)
+		r.changed = make(chan struct{})
+	}
+}
+
 // follow returns the changes after a revision, waiting for them at most wait.
 func (r *Replica) follow(ctx context.Context, after uint64, wait waxfleet.Millis) (*waxwire.FollowReply, error) {
 	started := r.clock.Now()
@@ -92,8 +105,11 @@
 	defer cancel()
 	for {
 		r.mu.Lock()
-		reply, changed := r.reply(after), r.changed
+		reply, changed, lost := r.reply(after), r.changed, r.lost
 		r.mu.Unlock()
+		if lost {
+			return nil, waxfleet.NewError(waxfleet.CodePlatformUnreachable, "the store does not answer this instance")
+		}
 		if reply != nil && (len(reply.GetRecords()) > 0 || reply.GetFull() || timeout.Err() != nil) {
 			reply.WaitedMs = int64(r.clock.Now() - started)
 			return reply, nil
--- a/waxfleet/waxreplica/replica_test.go
+++ b/waxfleet/waxreplica/replica_test.go
@@ -136,19 +136,19 @@
 func TestPlan(t *testing.T) {
 	is := is.New(t)
 	all := []string{"r1", "r2", "r3", "r4", "r5", "r6", "r7"}
-	watchers := Watchers(all)
-	is.Equal(len(watchers), fewWatchers)
+	chosen := Watchers(all)
+	is.Equal(len(chosen), watchers)
 	clock := waxfleet.NewManualClock(1_000)
 	for _, name := range all {
 		others := slices.DeleteFunc(slices.Clone(all), func(n string) bool { return n == name })
 		p := NewPlan(clock, name)
 		source := p.Source(others)
-		is.Equal(source == "", slices.Contains(watchers, name))
+		is.Equal(source == "", slices.Contains(chosen, name))
 		is.Equal(p.Source(nil), "") // alone
 		if source == "" {
 			continue
 		}
-		is.True(slices.Contains(watchers, source))
+		is.True(slices.Contains(chosen, source))
 		p.Failed(source)
 		is.Equal(p.Source(others), "")
 		clock.Advance(directTime)
@@ -159,3 +159,26 @@
 		is.Equal(p.Source(others), source)
 	}
 }
+
+// TestLostStore guards against followers that go on with the copy of an instance
+// which the store turns away: found by a hunt in which the store turned away both
+// instances that watched it, and the others did not learn of a new configuration.
+func TestLostStore(t *testing.T) {
+	is := is.New(t)
+	clock := waxfleet.NewManualClock(10_000)
+	r := New(clock)
+	feed := serve(t, r)
+	Update(r, waxfleet.Batch[string]{Full: true, Revision: 5}, clock.Now())
+	waiting := make(chan error, 1)
+	go func() {
+		_, err := feed.Watch(context.Background(), 5, 30_000)
+		waiting <- err
+	}()
+	r.SetLost(true)
+	is.Equal(waxfleet.CodeOf(<-waiting), waxfleet.CodePeerUnreachable)
+	_, err := feed.List(context.Background())
+	is.Equal(waxfleet.CodeOf(err), waxfleet.CodePeerUnreachable)
+	r.SetLost(false)
+	_, err = feed.List(context.Background())
+	is.NoErr(err)
+}
