waxcache, waxreplica, waxpeer: keep up with fleets of 68 instances

A profile of 68 instances with stand-ins shows the queue of holdings to tell: leading parts are held by more than 16 engines, so that each holding replaced another, was news for all, and hid the parts after it. Ruled out: the datagrams (slower groups changed nothing). Change: holders beyond 64 are not noted; a part counts with those before it; one instance per failure domain watches the store in large fleets.

--- a/waxfleet/waxcache/holders.go
+++ b/waxfleet/waxcache/holders.go
@@ -17,12 +17,14 @@
 	// maxParts bounds the remembered parts; the least recently used go first. An
 	// entry has about 100 bytes.
 	maxParts = 20_000
-	// maxHolders bounds the engines remembered for one part.
-	maxHolders = 16
+	// maxHolders bounds the engines remembered for one part. More are not noted:
+	// replacing one by another would be news for all instances at each request.
+	maxHolders = 64
 	// tellings is the number of datagrams that carry a new holding, so that a few
 	// lost ones do no harm.
 	tellings = 3
-	// maxNews bounds the holdings that wait to be told.
+	// maxNews bounds the holdings that wait to be told: the oldest go first when
+	// twice as many wait.
 	maxNews = 2_000
 )
 
@@ -118,24 +120,18 @@
 }
 
 // Held returns the tokens of the prompt's beginning that each engine holds, by
-// the hash of its incarnation.
+// the hash of its incarnation. An engine that holds a part holds those before it,
+// because it has read them together.
 func (h *Holders) Held(k Key) map[uint32]int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	out := map[uint32]int{}
+	tokens := 0
 	for i, part := range k.parts {
-		servers, ok := h.parts.Get(part)
-		if !ok {
-			break
-		}
-		before := 0
-		for _, t := range k.tokens[:i] {
-			before += t
-		}
+		tokens += k.tokens[i]
+		servers, _ := h.parts.Get(part)
 		for _, s := range servers {
-			if out[s] == before {
-				out[s] = before + k.tokens[i]
-			}
+			out[s] = tokens
 		}
 	}
 	return out
@@ -173,8 +169,8 @@
 // wait. The caller holds the lock.
 func (h *Holders) queue(scope Scope, holding Holding) {
 	h.news[scope] = append(h.news[scope], news{holding: holding, left: tellings})
-	if drop := len(h.news[scope]) - maxNews; drop > 0 {
-		h.news[scope] = slices.Clone(h.news[scope][drop:])
+	if len(h.news[scope]) > 2*maxNews {
+		h.news[scope] = slices.Clone(h.news[scope][maxNews:])
 	}
 }
 
@@ -185,7 +181,7 @@
 		return false
 	}
 	if len(servers) >= maxHolders {
-		servers = servers[1:]
+		return false
 	}
 	h.parts.Add(holding.Part, append(slices.Clone(servers), holding.Server))
 	return true
--- a/waxfleet/waxcache/holders_test.go
+++ b/waxfleet/waxcache/holders_test.go
@@ -29,7 +29,7 @@
 
 	is.Equal(h.Held(prompt(school, letter, own)), map[uint32]int{a: 8500, b: 2500})
 	is.Equal(h.Held(prompt(school, memo, own)), map[uint32]int{a: 2500, b: 3200})
-	is.Equal(len(h.Held(prompt(letter, memo, own))), 0)
+	is.Equal(len(h.Held(prompt(letter, memo, own))), 0) // a part counts with those before it
 	is.Equal(len(h.Held(prompt(own))), 0)
 	is.Equal(prompt(school, letter, own).Tokens(), 8500)
 
@@ -37,6 +37,28 @@
 	is.Equal(h.Held(prompt(school, letter, own)), map[uint32]int{b: 2500})
 }
 
+// TestManyHolders guards against a leading part that so many engines hold that
+// the table forgets one for the other, takes them for news again and again, and
+// loses sight of the parts after it. Found on a fleet with 60 engines, where it
+// kept all instances busy and had shared parts read again.
+func TestManyHolders(t *testing.T) {
+	is := is.New(t)
+	h := NewHolders()
+	const engines = maxHolders + 20
+	news := 0
+	for range 3 {
+		for s := range uint32(engines) {
+			one := waxfleet.PromptPart{ID: "own-of-engine", Tokens: int(s)}
+			if h.Sent(prompt(school, waxfleet.PromptPart{ID: string(rune('A' + s)), Tokens: 6000}, one), s) {
+				news++
+			}
+		}
+	}
+	is.Equal(news, engines)
+	last := prompt(school, waxfleet.PromptPart{ID: string(rune('A' + engines - 1)), Tokens: 6000}, own)
+	is.Equal(h.Held(last)[engines-1], 8500)
+}
+
 // TestIncarnations guards against holdings of an engine that has restarted under
 // its name and holds nothing.
 func TestIncarnations(t *testing.T) {
--- a/waxfleet/waxfront/follow.go
+++ b/waxfleet/waxfront/follow.go
@@ -47,6 +47,9 @@
 	// behindTime is how long a change that others have seen may be missing here, in
 	// ms, until the store is asked.
 	behindTime waxfleet.Millis = 300
+	// behindPeers is the same for the registry of instances, in ms, on which only
+	// shares depend.
+	behindPeers waxfleet.Millis = 3_000
 	// behindLook is the time between looks, in ms.
 	behindLook waxfleet.Millis = 100
 )
@@ -178,15 +181,15 @@
 // source returns the instance to follow with its address, or "" for the store.
 // Only instances of the own group are followed.
 func (f *Front) source() (peer, address string) {
-	group := f.exchanger.Topology().Group
+	t := f.exchanger.Topology()
 	var alive []string
-	for _, p := range group {
+	for _, p := range t.Group {
 		if f.loads.Alive(p.Name) {
 			alive = append(alive, p.Name)
 		}
 	}
-	peer = f.copies.plan.Source(alive)
-	for _, p := range group {
+	peer = f.copies.plan.Source(alive, t.Whole)
+	for _, p := range t.Group {
 		if p.Name == peer {
 			return peer, p.Address
 		}
@@ -214,7 +217,11 @@
 			if since[feed] == 0 {
 				since[feed] = now
 			}
-			if now-since[feed] < behindTime {
+			patience := behindTime
+			if feed == FeedPeers {
+				patience = behindPeers
+			}
+			if now-since[feed] < patience {
 				continue
 			}
 			f.log.Warn("copy is behind, asking the store", "feed", feed, "revision", reached, "others", revision)
--- a/waxfleet/waxpeer/exchanger.go
+++ b/waxfleet/waxpeer/exchanger.go
@@ -17,12 +17,13 @@
 )
 
 const (
-	// groupInterval and remoteInterval are the least times between two datagrams to
-	// an instance of the own group and to another failure domain, in ms. A decision
-	// on counts of this age stays within the load bound, whose slack is three
-	// requests.
-	groupInterval  waxfleet.Millis = 200
-	remoteInterval waxfleet.Millis = 400
+	// groupInterval is the least time between two datagrams to an instance of the
+	// own group of up to meshSize instances, in ms. It grows in proportion in larger
+	// groups, so that an instance sends and receives as many as before.
+	groupInterval waxfleet.Millis = 200
+	// remoteInterval is the least time between two datagrams to another failure
+	// domain, in ms.
+	remoteInterval waxfleet.Millis = 500
 	// repeatInterval is the longest time between two datagrams with the same
 	// counts, in ms; peers drop counts that are older than silence.
 	repeatInterval waxfleet.Millis = 1_000
@@ -170,7 +171,7 @@
 	var last map[uint32]Count
 	var lastRevisions []uint64
 	var lastAt waxfleet.Millis
-	for e.wait(ctx, groupInterval) {
+	for e.wait(ctx, groupPause(len(e.Topology().Group))) {
 		counts, revisions := e.opts.Counts(), e.opts.Revisions()
 		holdings := e.opts.Holders.News(waxcache.ToGroup, maxHoldings)
 		relayed := e.loads.relayed()
@@ -187,6 +188,11 @@
 	}
 }
 
+// groupPause is the time between two datagrams to a group of so many others.
+func groupPause(others int) waxfleet.Millis {
+	return groupInterval * waxfleet.Millis(max(others+1, meshSize)) / meshSize
+}
+
 // tellRemote tells other failure domains, if the instance is a gateway.
 func (e *Exchanger) tellRemote(ctx context.Context) {
 	for e.opts.Clock.Sleep(ctx, remoteInterval) == nil {
--- a/waxfleet/waxpeer/topology.go
+++ b/waxfleet/waxpeer/topology.go
@@ -32,6 +32,8 @@
 	Group []Peer
 	// Remote is told the sums of the own failure domain; only gateways do so.
 	Remote []Peer
+	// Whole is true when the group is the whole fleet.
+	Whole bool
 	// Gateway is true when the instance is a gateway of its failure domain.
 	Gateway bool
 }
@@ -40,7 +42,7 @@
 // which of them were heard lately.
 func Plan(self Peer, peers []Peer, alive func(name string) bool) Topology {
 	if len(peers)+1 <= meshSize {
-		return Topology{Group: peers}
+		return Topology{Group: peers, Whole: true}
 	}
 	var t Topology
 	rivals := 0
--- a/waxfleet/waxreplica/plan.go
+++ b/waxfleet/waxreplica/plan.go
@@ -11,10 +11,11 @@
 )
 
 const (
-	// watchers is the number of instances that watch the store, in a small fleet or
-	// in each failure domain of a large one. With two, the loss of one is noticed by
-	// the changes that the other tells.
-	watchers = 2
+	// watchersOfAll is the number of instances that watch the store in a small
+	// fleet, watchersOfDomain that in each failure domain of a large one. The loss of
+	// one is noticed by the changes that others tell.
+	watchersOfAll    = 2
+	watchersOfDomain = 1
 	// directTime is how long an instance watches the store itself after the copies
 	// of others have failed it, in ms.
 	directTime waxfleet.Millis = 5_000
@@ -23,8 +24,13 @@
 )
 
 // Watchers returns the instances of a group that watch the store, out of those
-// that live. All instances that see the same ones alive agree.
-func Watchers(alive []string) []string {
+// that live. whole tells that the group is the whole fleet and not one failure
+// domain of it. All instances that see the same ones alive agree.
+func Watchers(alive []string, whole bool) []string {
+	n := watchersOfDomain
+	if whole {
+		n = watchersOfAll
+	}
 	order := slices.Clone(alive)
 	slices.SortFunc(order, func(a, b string) int {
 		if c := cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)); c != 0 {
@@ -32,7 +38,7 @@
 		}
 		return cmp.Compare(a, b)
 	})
-	return order[:min(watchers, len(order))]
+	return order[:min(n, len(order))]
 }
 
 // Plan decides whether an instance watches the store itself or follows the copy
@@ -53,15 +59,16 @@
 }
 
 // Source returns the instance to follow, or "" for the store itself. alive holds
-// the instances that were heard lately.
-func (p *Plan) Source(alive []string) string {
+// the instances of the group that were heard lately, whole tells that the group
+// is the whole fleet.
+func (p *Plan) Source(alive []string, whole bool) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
 	if now < p.directUntil {
 		return ""
 	}
-	chosen := Watchers(append(slices.Clone(alive), p.instance))
+	chosen := Watchers(append(slices.Clone(alive), p.instance), whole)
 	if slices.Contains(chosen, p.instance) {
 		return ""
 	}
--- a/waxfleet/waxreplica/replica_test.go
+++ b/waxfleet/waxreplica/replica_test.go
@@ -136,27 +136,28 @@
 func TestPlan(t *testing.T) {
 	is := is.New(t)
 	all := []string{"r1", "r2", "r3", "r4", "r5", "r6", "r7"}
-	chosen := Watchers(all)
-	is.Equal(len(chosen), watchers)
+	chosen := Watchers(all, true)
+	is.Equal(len(chosen), watchersOfAll)
+	is.Equal(Watchers(all, false), chosen[:watchersOfDomain])
 	clock := waxfleet.NewManualClock(1_000)
 	for _, name := range all {
 		others := slices.DeleteFunc(slices.Clone(all), func(n string) bool { return n == name })
 		p := NewPlan(clock, name)
-		source := p.Source(others)
+		source := p.Source(others, true)
 		is.Equal(source == "", slices.Contains(chosen, name))
-		is.Equal(p.Source(nil), "") // alone
+		is.Equal(p.Source(nil, true), "") // alone
 		if source == "" {
 			continue
 		}
 		is.True(slices.Contains(chosen, source))
 		p.Failed(source)
-		is.Equal(p.Source(others), "")
+		is.Equal(p.Source(others, true), "")
 		clock.Advance(directTime)
-		is.True(p.Source(others) != source)
+		is.True(p.Source(others, true) != source)
 		p.Behind()
-		is.Equal(p.Source(others), "")
+		is.Equal(p.Source(others, true), "")
 		clock.Advance(avoidTime)
-		is.Equal(p.Source(others), source)
+		is.Equal(p.Source(others, true), source)
 	}
 }
 
