--- a/waxfleet/waxforward/events_test.go
+++ b/waxfleet/waxforward/events_test.go
@@ -48,7 +48,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		stream := strings.Join(rapid.SliceOf(rapid.SampledFrom([]string{"id: 7", "data: x", "\n", "\n\n", "\r\n", ":"})).Draw(rt, "pieces"), "")
 		events, _, err := collect(iotest.HalfReader(strings.NewReader(stream)))
-		if err != io.EOF || strings.Join(events, "") != stream {
+		if !errors.Is(err, io.EOF) || strings.Join(events, "") != stream {
 			rt.Fatalf("%q became %q", stream, events)
 		}
 	})
--- a/waxfleet/waxforward/place.go
+++ b/waxfleet/waxforward/place.go
@@ -61,7 +61,7 @@
 		v.cold.Take(now, rate, burst)
 	}
 	v.inFlight++
-	c.source = f.source(c, v, held)
+	c.source = f.source(v, held)
 	c.pending = max(0, c.in.PromptTokens-held[v.hash])
 	v.pending += c.pending
 	if f.opts.Holders.Sent(c.key, v.hash) {
@@ -78,7 +78,7 @@
 // than the chosen one, or "". Leaving engines hand over what they hold; engines of
 // failure domains that are out, and those that are down, do not. The caller holds
 // the lock.
-func (f *Forwarder) source(c *call, chosen *server, held map[uint32]int) string {
+func (f *Forwarder) source(chosen *server, held map[uint32]int) string {
 	best, most := "", held[chosen.hash]+leastFetch
 	for id, v := range f.servers.servers {
 		if v == chosen || held[v.hash] < most || v.health.Down(f.opts.Clock.Now()) || !f.opts.Directory.InService(id, v.entry.Born()) {
--- a/waxfleet/waxforward/run.go
+++ b/waxfleet/waxforward/run.go
@@ -361,7 +361,7 @@
 				return resultCallerLeft, werr
 			}
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return resultDone, nil
 		}
 		if err != nil {
@@ -381,7 +381,7 @@
 	}
 	for {
 		event, id, err := events.next()
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			if !c.sink.started() {
 				c.sink.head(a.Status, a.Header, -1)
 			}
@@ -460,7 +460,7 @@
 
 // rest returns what follows the last event of a stream that is whole.
 func (r *eventReader) rest() ([]byte, int64, error) {
-	if r.err != io.EOF || len(r.buf) == 0 {
+	if !errors.Is(r.err, io.EOF) || len(r.buf) == 0 {
 		return nil, -1, r.err
 	}
 	r.read = len(r.buf)
--- a/waxfleet/waxpool/conn.go
+++ b/waxfleet/waxpool/conn.go
@@ -145,7 +145,7 @@
 // still deliver a second answer to the request before.
 func (c *Conn) readHead(r Request, written chan error) (*Answer, error) {
 	for range maxForeignAnswers + 1 {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method}) //nolint:bodyclose // Done or Discard end the body with the connection.
 		if err != nil {
 			return nil, waxfleet.WrapError(err, waxfleet.CodeBackendDied, "no answer on the connection")
 		}
@@ -194,7 +194,7 @@
 	if closed {
 		return
 	}
-	_ = c.Conn.Close()
+	_ = c.Close()
 	c.pool.closed()
 }
 
