waxforward, waxpeer: refuse requests that end the servers that run them

Cause: a request that crashes each server reached one more server with each attempt of its caller, at any instance. Change: after a connection has ended in the middle of a run, the server is looked at; if it can't be reached, its death counts against the digest of path, caller and body, which instances tell each other in their datagrams; after two deaths the request is refused (2007). A completed run clears it.

--- a/waxfleet/waxforward/forwarder.go
+++ b/waxfleet/waxforward/forwarder.go
@@ -17,6 +17,7 @@
 	"waxwingdrift.org/waxfleet/waxdirectory"
 	"waxwingdrift.org/waxfleet/waxfresh"
 	"waxwingdrift.org/waxfleet/waxpeer"
+	"waxwingdrift.org/waxfleet/waxsuspect"
 	"waxwingdrift.org/waxfleet/waxtable"
 )
 
@@ -42,6 +43,7 @@
 	Directory     *waxdirectory.Directory
 	Loads         *waxpeer.Loads
 	Holders       *waxcache.Holders
+	Suspects      *waxsuspect.Register
 	// News is called when other instances should learn of new holdings.
 	News    func()
 	Proof   *waxfresh.Proof
@@ -103,6 +105,8 @@
 	runs      int
 	// server is the last server that the call was sent to.
 	server string
+	// digest identifies the request when its caller sends it again.
+	digest string
 	// source is the address of an engine that hands over parts of the prompt.
 	source string
 	// pending is the number of tokens that the chosen engine has to read.
@@ -158,7 +162,10 @@
 		patience = min(patience, route.Timeout())
 	}
 	c.deadline = c.arrived + patience
-	return f.readBody(c, r)
+	if err := f.readBody(c, r); err != nil {
+		return err
+	}
+	return f.clearOfSuspicion(c)
 }
 
 // authorise finds the workspace of the key.
--- a/waxfleet/waxforward/run.go
+++ b/waxfleet/waxforward/run.go
@@ -74,8 +74,12 @@
 		res, err := f.send(ctx, c, v)
 		f.servers.end(v, c.service, healthOf(res, err))
 		if res == resultDone {
+			f.opts.Suspects.Clear(c.digest)
 			return nil
 		}
+		if res == resultMayHaveRun && ctx.Err() == nil {
+			f.suspect(ctx, c, v)
+		}
 		if ctx.Err() != nil {
 			return f.ended(ctx, c)
 		}
--- a/waxfleet/waxfront/front.go
+++ b/waxfleet/waxfront/front.go
@@ -24,6 +24,7 @@
 	"waxwingdrift.org/waxfleet/waxpeer"
 	"waxwingdrift.org/waxfleet/waxquota"
 	"waxwingdrift.org/waxfleet/waxreplica"
+	"waxwingdrift.org/waxfleet/waxsuspect"
 	"waxwingdrift.org/waxfleet/waxtable"
 )
 
@@ -72,6 +73,7 @@
 	servers   *waxforward.Servers
 	loads     *waxpeer.Loads
 	holders   *waxcache.Holders
+	suspects  *waxsuspect.Register
 	exchanger *waxpeer.Exchanger
 	copies    *copies
 	forwarder *waxforward.Forwarder
@@ -95,16 +97,17 @@
 	f.servers = waxforward.NewServers(opts.Clock, opts.Protocol)
 	f.loads = waxpeer.NewLoads(opts.Clock, s.FailureDomain)
 	f.holders = waxcache.NewHolders()
+	f.suspects = waxsuspect.New(opts.Clock)
 	f.metrics = newMetrics(ctx, s.Instance)
 	f.forwarder = waxforward.New(waxforward.Options{
 		Instance: s.Instance, FailureDomain: s.FailureDomain, Clock: opts.Clock, Log: opts.Log, Protocol: opts.Protocol,
-		Directory: f.directory, Loads: f.loads, Holders: f.holders, News: func() { f.exchanger.News() }, Proof: f.proof, Servers: f.servers, Table: f.table.Load,
+		Directory: f.directory, Loads: f.loads, Holders: f.holders, Suspects: f.suspects, News: func() { f.exchanger.News() }, Proof: f.proof, Servers: f.servers, Table: f.table.Load,
 		Bounds: f.forwardBounds, Instances: f.Instances, Stopping: f.stopping, Observe: f.metrics.observe,
 	})
 	var err error
 	f.copies = newCopies(opts.Clock, s.Instance)
 	f.exchanger, err = waxpeer.NewExchanger(ctx, f.loads, waxpeer.Options{
-		Self: waxpeer.Peer{Name: s.Instance, FailureDomain: s.FailureDomain, Address: f.peerAddress()}, Clock: opts.Clock, Log: opts.Log, Counts: f.servers.Counts, Holders: f.holders,
+		Self: waxpeer.Peer{Name: s.Instance, FailureDomain: s.FailureDomain, Address: f.peerAddress()}, Clock: opts.Clock, Log: opts.Log, Counts: f.servers.Counts, Holders: f.holders, Suspects: f.suspects,
 		Revisions: f.copies.last,
 	})
 	if err != nil {
--- a/waxfleet/waxpeer/exchanger.go
+++ b/waxfleet/waxpeer/exchanger.go
@@ -13,6 +13,7 @@
 
 	"waxwingdrift.org/waxfleet"
 	"waxwingdrift.org/waxfleet/waxcache"
+	"waxwingdrift.org/waxfleet/waxsuspect"
 	"waxwingdrift.org/waxfleet/waxwire"
 )
 
@@ -34,6 +35,10 @@
 	// newsInterval is the least time between datagrams that carry new holdings, in
 	// ms. Until peers know of one, they may have a prompt read a second time.
 	newsInterval waxfleet.Millis = 20
+	// suspicionTime is how long a new suspicion stands in datagrams, in ms, and
+	// maxSuspicions the number in one.
+	suspicionTime waxfleet.Millis = 2_000
+	maxSuspicions                 = 10
 	// tellers is the number of instances that send all holdings to one that has
 	// just started.
 	tellers = 2
@@ -50,6 +55,8 @@
 	Revisions func() []uint64
 	// Holders is the table of the engines' caches.
 	Holders *waxcache.Holders
+	// Suspects is the register of requests that may end backend servers.
+	Suspects *waxsuspect.Register
 }
 
 // Exchanger sends the own counts to other instances and receives theirs.
@@ -158,6 +165,11 @@
 	if fresh && scope == waxcache.ToGroup {
 		e.News()
 	}
+	for _, v := range d.GetSuspicions() {
+		if e.opts.Suspects.Merge(v.GetDigest(), int(v.GetDeaths()), int(v.GetCleared()), waxfleet.Millis(v.GetRemainingMs())) {
+			e.opts.Log.Info("suspicion told", "digest", v.GetDigest(), "deaths", v.GetDeaths(), "cleared", v.GetCleared())
+		}
+	}
 	if d.GetSequence() == 0 {
 		return
 	}
@@ -177,7 +189,7 @@
 		relayed := e.loads.relayed()
 		now := e.opts.Clock.Now()
 		if now-lastAt < repeatInterval && len(holdings) == 0 && len(relayed) == 0 &&
-			maps.Equal(counts, last) && slices.Equal(revisions, lastRevisions) {
+			len(e.opts.Suspects.Changed(suspicionTime)) == 0 && maps.Equal(counts, last) && slices.Equal(revisions, lastRevisions) {
 			continue
 		}
 		last, lastRevisions, lastAt = counts, revisions, now
@@ -256,6 +268,12 @@
 		d.Sequence = e.sequence
 		e.mu.Unlock()
 	}
+	suspicions := e.opts.Suspects.Changed(suspicionTime)
+	for _, r := range suspicions[:min(maxSuspicions, len(suspicions))] {
+		d.Suspicions = append(d.Suspicions, &waxwire.Suspicion{
+			Digest: r.Digest(), Deaths: uint32(r.Deaths()), Cleared: uint32(r.Cleared()), RemainingMs: int64(r.Remaining()),
+		})
+	}
 	for _, h := range holdings {
 		d.HeldParts = append(d.HeldParts, h.Part)
 		d.Holders = append(d.Holders, h.Server)
--- a/waxfleet/waxpeer/peer_test.go
+++ b/waxfleet/waxpeer/peer_test.go
@@ -14,6 +14,7 @@
 
 	"waxwingdrift.org/waxfleet"
 	"waxwingdrift.org/waxfleet/waxcache"
+	"waxwingdrift.org/waxfleet/waxsuspect"
 	"waxwingdrift.org/waxfleet/waxwire"
 )
 
@@ -58,12 +59,14 @@
 	clock := waxfleet.NewClock()
 	key := waxcache.NewKey([]waxfleet.PromptPart{{ID: "a", Tokens: 500}, {ID: "own", Tokens: 5}})
 	addresses := map[string]string{"r1": free(t), "r2": free(t)}
+	suspects := map[string]*waxsuspect.Register{"r1": waxsuspect.New(clock), "r2": waxsuspect.New(clock)}
+	suspects["r1"].Died("request", "e1")
 	start := func(name string, holders *waxcache.Holders, inFlight int) *Loads {
 		loads := NewLoads(clock, "caerdydd")
 		e, err := NewExchanger(ctx, loads, Options{
 			Self: Peer{Name: name, FailureDomain: "caerdydd", Address: addresses[name]}, Clock: clock, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 			Counts:    func() map[uint32]Count { return map[uint32]Count{ServerHash("e1"): {InFlight: inFlight}} },
-			Revisions: func() []uint64 { return []uint64{uint64(inFlight)} }, Holders: holders,
+			Revisions: func() []uint64 { return []uint64{uint64(inFlight)} }, Holders: holders, Suspects: suspects[name],
 		})
 		is.NoErr(err)
 		e.SetPeers([]Peer{{Name: "r1", FailureDomain: "caerdydd", Address: addresses["r1"]}, {Name: "r2", FailureDomain: "caerdydd", Address: addresses["r2"]}})
@@ -77,7 +80,7 @@
 	first := start("r1", early, 2)
 	second := start("r2", late, 5)
 	deadline := time.Now().Add(20 * time.Second)
-	for late.Held(key)[7] != 500 || first.Counts()[ServerHash("e1")].InFlight != 5 || second.Counts()[ServerHash("e1")].InFlight != 2 {
+	for late.Held(key)[7] != 500 || !suspects["r2"].Suspect("request") || first.Counts()[ServerHash("e1")].InFlight != 5 || second.Counts()[ServerHash("e1")].InFlight != 2 {
 		if time.Now().After(deadline) {
 			t.Fatalf("held %v, counts %v and %v", late.Held(key), first.Counts(), second.Counts())
 		}
