waxreplica, waxfollow: leave a lost store to the instances that watch it

Change: an instance that need not watch the store follows another one for 3 s after a failed call, pauses up to 4 s, and tries again when another instance says that the store answers it; after a failed copy it asks the store for 2 s instead of 5.

--- a/waxfleet/waxfollow/follower.go
+++ b/waxfleet/waxfollow/follower.go
@@ -54,11 +54,14 @@
 	// Pace is the least time between two calls, in ms, so that changes which come
 	// close together cost one call.
 	Pace waxfleet.Millis
-	// LongestRetry bounds the pause after a failed call, in ms. The feed with the
-	// shortest one finds out first that the store is back; Kick ends the pauses of
-	// the others.
-	LongestRetry waxfleet.Millis
-	// Lost is called when the store fails and Regained when it answers again.
+	// LongestRetry bounds the pause after a failed call, in ms. The instance and feed
+	// with the shortest one find out first that the store is back; Kick ends the
+	// pauses of the others.
+	LongestRetry func() waxfleet.Millis
+	// StoreFailed is called after each failed call to the store.
+	StoreFailed func()
+	// Lost is called when the store fails, and Regained when the copy is current
+	// again, by the store's answer or by another instance's copy.
 	Lost     func(err error)
 	Regained func()
 }
@@ -98,8 +101,7 @@
 }
 
 func (f *Follower[T]) run(ctx context.Context) {
-	pause := backoff.NewExponentialBackOff(backoff.WithInitialInterval(firstRetry),
-		backoff.WithMaxInterval(f.opts.LongestRetry.Duration()), backoff.WithMaxElapsedTime(0))
+	pause := backoff.NewExponentialBackOff(backoff.WithInitialInterval(firstRetry), backoff.WithMaxElapsedTime(0))
 	var revision uint64
 	listed := false
 	for ctx.Err() == nil {
@@ -122,6 +124,7 @@
 			f.opts.PeerFailed(source.Peer, err)
 		default:
 			f.failed(err)
+			pause.MaxInterval = f.opts.LongestRetry().Duration()
 			f.rest(ctx, waxfleet.MillisOf(pause.NextBackOff()))
 		}
 	}
@@ -175,9 +178,7 @@
 	if source.MaxLag > 0 && b.Lag > source.MaxLag {
 		return 0, waxfleet.NewError(waxfleet.CodePeerUnreachable, "the copy is %d ms old", b.Lag)
 	}
-	if source.Peer == "" {
-		f.regained()
-	}
+	f.regained()
 	f.report(b.Records)
 	f.opts.Apply(b, sent-b.Lag)
 	return b.Revision, nil
@@ -194,6 +195,7 @@
 }
 
 func (f *Follower[T]) failed(err error) {
+	f.opts.StoreFailed()
 	if f.lost {
 		return
 	}
--- a/waxfleet/waxfollow/follower_test.go
+++ b/waxfleet/waxfollow/follower_test.go
@@ -87,7 +87,8 @@
 		}
 		followPeer := len(peer.lines) > 0
 		f := New(ctx, Options[string]{
-			Name: "texts", Clock: waxfleet.NewClock(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)), LongestRetry: 1,
+			Name: "texts", Clock: waxfleet.NewClock(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+			LongestRetry: func() waxfleet.Millis { return 1 }, StoreFailed: func() {},
 			Source: func() Source[string] {
 				if followPeer {
 					return Source[string]{Feed: peer, Peer: "r2", MaxLag: 1000}
--- a/waxfleet/waxfront/follow.go
+++ b/waxfleet/waxfront/follow.go
@@ -38,7 +38,8 @@
 const (
 	// configRetry and otherRetry bound the pause after a failed call to the store,
 	// in ms. Only the configuration, on which the proof of keys rests, is asked for
-	// often while the store is away; the other feeds follow when it is back.
+	// often while the store is away, and only by the instances that watch it; the
+	// other feeds and instances follow when it is back.
 	configRetry waxfleet.Millis = 500
 	otherRetry  waxfleet.Millis = 4_000
 	// maxCopyLag is the age of another instance's copy of the configuration from
@@ -50,6 +51,9 @@
 	// behindPeers is the same for the registry of instances, in ms, on which only
 	// shares depend.
 	behindPeers waxfleet.Millis = 3_000
+	// returnPause is the least time between two tries that follow the news that the
+	// store answers others, in ms.
+	returnPause waxfleet.Millis = 2_000
 	// behindLook is the time between looks, in ms.
 	behindLook waxfleet.Millis = 100
 )
@@ -113,6 +117,30 @@
 	}
 }
 
+// storeAnswers reports whether no feed has lost the store.
+func (c *copies) storeAnswers() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, lost := range c.lost {
+		if lost {
+			return false
+		}
+	}
+	return true
+}
+
+// kickLost ends the pauses of the feeds that have lost the store.
+func (c *copies) kickLost() {
+	for _, feed := range feedOrder {
+		c.mu.Lock()
+		lost := c.lost[feed]
+		c.mu.Unlock()
+		if lost {
+			c.kick(feed)
+		}
+	}
+}
+
 // last returns the revisions of the last changes that were seen.
 func (c *copies) last() []uint64 {
 	out := make([]uint64, len(feedOrder))
@@ -145,9 +173,12 @@
 		apply(b, asOf)
 		waxreplica.Update(f.copies.replicas[name], b, asOf)
 	}
-	opts.Pace, opts.LongestRetry = feedPaces[name], otherRetry
-	if name == FeedConfig {
-		opts.LongestRetry = configRetry
+	opts.Pace, opts.StoreFailed = feedPaces[name], f.copies.plan.StoreFailed
+	opts.LongestRetry = func() waxfleet.Millis {
+		if alive, whole := f.group(); name == FeedConfig && f.copies.plan.Watches(alive, whole) {
+			return configRetry
+		}
+		return otherRetry
 	}
 	lost, regained := opts.Lost, opts.Regained
 	opts.Lost = func(err error) {
@@ -178,18 +209,24 @@
 	f.copies.setKick(name, waxfollow.New(ctx, opts).Kick)
 }
 
-// source returns the instance to follow with its address, or "" for the store.
-// Only instances of the own group are followed.
-func (f *Front) source() (peer, address string) {
+// group returns the instances of the own group that were heard lately, and
+// whether the group is the whole fleet.
+func (f *Front) group() (alive []string, whole bool) {
 	t := f.exchanger.Topology()
-	var alive []string
 	for _, p := range t.Group {
 		if f.loads.Alive(p.Name) {
 			alive = append(alive, p.Name)
 		}
 	}
-	peer = f.copies.plan.Source(alive, t.Whole)
-	for _, p := range t.Group {
+	return alive, t.Whole
+}
+
+// source returns the instance to follow with its address, or "" for the store.
+// Only instances of the own group are followed.
+func (f *Front) source() (peer, address string) {
+	alive, whole := f.group()
+	peer = f.copies.plan.Source(alive, whole)
+	for _, p := range f.exchanger.Topology().Group {
 		if p.Name == peer {
 			return peer, p.Address
 		}
@@ -202,8 +239,14 @@
 // silent.
 func (f *Front) watchBehind(ctx context.Context) {
 	since := map[string]waxfleet.Millis{}
+	var returned waxfleet.Millis
 	for f.opts.Clock.Sleep(ctx, behindLook) == nil {
 		now := f.opts.Clock.Now()
+		if !f.copies.storeAnswers() && f.loads.StoreAnswers() && now-returned >= returnPause {
+			returned = now
+			f.copies.plan.StoreReturned()
+			f.copies.kickLost()
+		}
 		for i, revision := range f.loads.Revisions() {
 			if i >= len(feedOrder) {
 				break
--- a/waxfleet/waxpeer/exchanger.go
+++ b/waxfleet/waxpeer/exchanger.go
@@ -53,6 +53,8 @@
 	Counts func() map[uint32]Count
 	// Revisions returns the revisions of the last changes that were seen, by feed.
 	Revisions func() []uint64
+	// StoreAnswers reports whether the store answers the own calls.
+	StoreAnswers func() bool
 	// Holders is the table of the engines' caches.
 	Holders *waxcache.Holders
 	// Suspects is the register of requests that may end backend servers.
@@ -261,7 +263,7 @@
 // datagram returns one with holdings. Without a sequence number its counts are
 // not used.
 func (e *Exchanger) datagram(holdings []waxcache.Holding, counted bool) *waxwire.LoadDatagram {
-	d := &waxwire.LoadDatagram{Instance: HashOf(e.opts.Self.Name), Incarnation: e.start, Revisions: e.opts.Revisions()}
+	d := &waxwire.LoadDatagram{Instance: HashOf(e.opts.Self.Name), Incarnation: e.start, Revisions: e.opts.Revisions(), StoreAnswers: e.opts.StoreAnswers()}
 	if counted {
 		e.mu.Lock()
 		e.sequence++
--- a/waxfleet/waxpeer/loads.go
+++ b/waxfleet/waxpeer/loads.go
@@ -50,6 +50,8 @@
 	incarnation int64
 	sequence    uint64
 	revisions   []uint64
+	// storeAnswers is true when the store answered the instance's own calls.
+	storeAnswers bool
 }
 
 // Loads holds the counts of all other instances: those of the own group one by
@@ -79,7 +81,7 @@
 		d.GetIncarnation() == old.incarnation && d.GetSequence() <= old.sequence) {
 		return false
 	}
-	r := report{incarnation: d.GetIncarnation(), sequence: d.GetSequence(), revisions: d.GetRevisions()}
+	r := report{incarnation: d.GetIncarnation(), sequence: d.GetSequence(), revisions: d.GetRevisions(), storeAnswers: d.GetStoreAnswers()}
 	r.at = now
 	r.byServer = decode(d.GetOwn())
 	l.reports[d.GetInstance()] = r
@@ -226,3 +228,17 @@
 	}
 	return out
 }
+
+// StoreAnswers reports whether an instance that was heard lately has answers of
+// the store.
+func (l *Loads) StoreAnswers() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	for _, r := range l.reports {
+		if r.storeAnswers && now-r.at < silence {
+			return true
+		}
+	}
+	return false
+}
--- a/waxfleet/waxpeer/peer_test.go
+++ b/waxfleet/waxpeer/peer_test.go
@@ -66,7 +66,7 @@
 		e, err := NewExchanger(ctx, loads, Options{
 			Self: Peer{Name: name, FailureDomain: "caerdydd", Address: addresses[name]}, Clock: clock, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 			Counts:    func() map[uint32]Count { return map[uint32]Count{ServerHash("e1"): {InFlight: inFlight}} },
-			Revisions: func() []uint64 { return []uint64{uint64(inFlight)} }, Holders: holders, Suspects: suspects[name],
+			Revisions: func() []uint64 { return []uint64{uint64(inFlight)} }, StoreAnswers: func() bool { return name == "r1" }, Holders: holders, Suspects: suspects[name],
 		})
 		is.NoErr(err)
 		e.SetPeers([]Peer{{Name: "r1", FailureDomain: "caerdydd", Address: addresses["r1"]}, {Name: "r2", FailureDomain: "caerdydd", Address: addresses["r2"]}})
@@ -80,12 +80,13 @@
 	first := start("r1", early, 2)
 	second := start("r2", late, 5)
 	deadline := time.Now().Add(20 * time.Second)
-	for late.Held(key)[7] != 500 || !suspects["r2"].Suspect("request") || first.Counts()[ServerHash("e1")].InFlight != 5 || second.Counts()[ServerHash("e1")].InFlight != 2 {
+	for late.Held(key)[7] != 500 || !suspects["r2"].Suspect("request") || !second.StoreAnswers() || first.Counts()[ServerHash("e1")].InFlight != 5 || second.Counts()[ServerHash("e1")].InFlight != 2 {
 		if time.Now().After(deadline) {
 			t.Fatalf("held %v, counts %v and %v", late.Held(key), first.Counts(), second.Counts())
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
+	is.True(!first.StoreAnswers()) // the other instance has none
 }
 
 // free returns a datagram address of 127.0.0.1 that was free just now.
--- a/waxfleet/waxreplica/plan.go
+++ b/waxfleet/waxreplica/plan.go
@@ -18,9 +18,12 @@
 	watchersOfDomain = 1
 	// directTime is how long an instance watches the store itself after the copies
 	// of others have failed it, in ms.
-	directTime waxfleet.Millis = 5_000
+	directTime waxfleet.Millis = 2_000
 	// avoidTime is how long an instance whose copy failed is not followed, in ms.
 	avoidTime waxfleet.Millis = 10_000
+	// storeAvoidTime is how long an instance that need not watch the store leaves it
+	// alone after a failed call, in ms, as long as it finds another one to follow.
+	storeAvoidTime waxfleet.Millis = 3_000
 )
 
 // Watchers returns the instances of a group that watch the store, out of those
@@ -50,6 +53,7 @@
 
 	mu          sync.Mutex
 	directUntil waxfleet.Millis
+	storeUntil  waxfleet.Millis
 	avoidUntil  map[string]waxfleet.Millis
 }
 
@@ -65,7 +69,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	if now < p.directUntil {
+	if now < p.directUntil && now >= p.storeUntil {
 		return ""
 	}
 	chosen := Watchers(append(slices.Clone(alive), p.instance), whole)
@@ -94,6 +98,30 @@
 	p.directUntil = now + directTime
 }
 
+// StoreFailed notes that the store did not answer this instance. If it need not
+// watch the store, it follows another instance for a while. It answers the
+// pattern of a store that turns many instances away, or all, which otherwise each
+// ask it twice a second.
+func (p *Plan) StoreFailed() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.storeUntil = p.clock.Now() + storeAvoidTime
+}
+
+// StoreReturned notes that the store answers other instances again, so that their
+// copies can be followed.
+func (p *Plan) StoreReturned() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	clear(p.avoidUntil)
+	p.storeUntil = 0
+}
+
+// Watches reports whether the instance is one of those that watch the store.
+func (p *Plan) Watches(alive []string, whole bool) bool {
+	return slices.Contains(Watchers(append(slices.Clone(alive), p.instance), whole), p.instance)
+}
+
 // Behind notes that other instances have seen changes that the followed copy does
 // not have. The next calls go to the store.
 func (p *Plan) Behind() {
--- a/waxfleet/waxreplica/replica_test.go
+++ b/waxfleet/waxreplica/replica_test.go
@@ -158,6 +158,17 @@
 		is.Equal(p.Source(others, true), "")
 		clock.Advance(avoidTime)
 		is.Equal(p.Source(others, true), source)
+
+		// Neither the copy nor the store: the other watcher, then the store again.
+		p.Failed(source)
+		p.StoreFailed()
+		other := p.Source(others, true)
+		is.True(other != "" && other != source)
+		p.Failed(other)
+		is.Equal(p.Source(others, true), "")
+		p.StoreReturned()
+		clock.Advance(directTime)
+		is.Equal(p.Source(others, true), source)
 	}
 }
 
