--- a/waxfleet/waxpeer/exchanger.go
+++ b/waxfleet/waxpeer/exchanger.go
@@ -35,10 +35,10 @@
 	// newsInterval is the least time between datagrams that carry new holdings, in
 	// ms. Until peers know of one, they may have a prompt read a second time.
 	newsInterval waxfleet.Millis = 20
-	// suspicionTime is how long a new suspicion stands in datagrams, in ms, and
-	// maxSuspicions the number in one.
+	// suspicionTime is how long a new suspicion stands in datagrams, in ms.
 	suspicionTime waxfleet.Millis = 2_000
-	maxSuspicions                 = 10
+	// maxSuspicions is the number of suspicions in a datagram.
+	maxSuspicions = 10
 	// tellers is the number of instances that send all holdings to one that has
 	// just started.
 	tellers = 2
