--- a/waxfleet/waxforward/forwarder.go
+++ b/waxfleet/waxforward/forwarder.go
@@ -12,6 +12,10 @@
 	"strings"
 	"sync/atomic"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
 	"waxwingdrift.org/waxfleet"
 	"waxwingdrift.org/waxfleet/waxcache"
 	"waxwingdrift.org/waxfleet/waxdirectory"
@@ -39,11 +43,13 @@
 	FailureDomain string
 	Clock         *waxfleet.Clock
 	Log           *slog.Logger
-	Protocol      waxfleet.Protocol
-	Directory     *waxdirectory.Directory
-	Loads         *waxpeer.Loads
-	Holders       *waxcache.Holders
-	Suspects      *waxsuspect.Register
+	// Tracer makes a span for each request and each send.
+	Tracer    trace.Tracer
+	Protocol  waxfleet.Protocol
+	Directory *waxdirectory.Directory
+	Loads     *waxpeer.Loads
+	Holders   *waxcache.Holders
+	Suspects  *waxsuspect.Register
 	// News is called when other instances should learn of new holdings.
 	News    func()
 	Proof   *waxfresh.Proof
@@ -125,9 +131,12 @@
 	if stopping, _ := f.opts.Stopping(); stopping {
 		w.Header().Set("Connection", "close")
 	}
+	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := f.opts.Tracer.Start(ctx, "entry", trace.WithSpanKind(trace.SpanKindServer), trace.WithAttributes(attribute.String("request", c.in.ID)))
+	defer span.End()
 	err := f.admit(c, r)
 	if err == nil {
-		ctx, cancel := context.WithTimeout(r.Context(), (c.deadline - f.opts.Clock.Now()).Duration())
+		ctx, cancel := context.WithTimeout(ctx, (c.deadline - f.opts.Clock.Now()).Duration())
 		err = f.run(ctx, c)
 		cancel()
 	}
--- a/waxfleet/waxforward/run.go
+++ b/waxfleet/waxforward/run.go
@@ -10,6 +10,9 @@
 	"sync"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
 	"waxwingdrift.org/waxfleet"
 	"waxwingdrift.org/waxfleet/waxpool"
 	"waxwingdrift.org/waxfleet/waxtable"
@@ -71,7 +74,10 @@
 		f.opts.Log.Info("placed", "request", c.in.ID, "server", id, "reason", string(choice.Reason), "send", c.sends+1,
 			"load", choice.Load, "pending-tokens", c.pending, "shared-tokens", c.key.Tokens(), "source", c.source, "mean", round(choice.Mean), "limit", choice.Limit, "peers", heard, "peer-age-ms", int64(age),
 			"config-version", c.table.Version())
-		res, err := f.send(ctx, c, v)
+		spanCtx, span := f.opts.Tracer.Start(ctx, "send", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(attribute.String("server", id)))
+		res, err := f.send(spanCtx, c, v)
+		span.SetAttributes(attribute.String("result", res.String()))
+		span.End()
 		f.servers.end(v, c.service, healthOf(res, err))
 		if res == resultDone {
 			f.opts.Suspects.Clear(c.digest)
--- a/waxfleet/waxfront/front.go
+++ b/waxfleet/waxfront/front.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"maps"
 	"net"
@@ -21,6 +22,7 @@
 	"waxwingdrift.org/waxfleet/waxdirectory"
 	"waxwingdrift.org/waxfleet/waxforward"
 	"waxwingdrift.org/waxfleet/waxfresh"
+	"waxwingdrift.org/waxfleet/waxmetric"
 	"waxwingdrift.org/waxfleet/waxpeer"
 	"waxwingdrift.org/waxfleet/waxquota"
 	"waxwingdrift.org/waxfleet/waxreplica"
@@ -58,6 +60,8 @@
 	ReadyPath string
 	Clock     *waxfleet.Clock
 	Log       *slog.Logger
+	// Traces receives the spans as JSON; nil turns tracing off.
+	Traces io.Writer
 	// DroppedLogs returns the number of log lines dropped so far.
 	DroppedLogs func() int64
 }
@@ -99,12 +103,15 @@
 	f.holders = waxcache.NewHolders()
 	f.suspects = waxsuspect.New(opts.Clock)
 	f.metrics = newMetrics(ctx, s.Instance)
+	tracers, err := waxmetric.NewTracer(ctx, s.Instance, opts.Traces)
+	if err != nil {
+		return nil, waxfleet.WrapError(err, waxfleet.CodeInternal, "tracing can't be set up")
+	}
 	f.forwarder = waxforward.New(waxforward.Options{
-		Instance: s.Instance, FailureDomain: s.FailureDomain, Clock: opts.Clock, Log: opts.Log, Protocol: opts.Protocol,
+		Instance: s.Instance, FailureDomain: s.FailureDomain, Clock: opts.Clock, Log: opts.Log, Tracer: tracers.Tracer("waxforward"), Protocol: opts.Protocol,
 		Directory: f.directory, Loads: f.loads, Holders: f.holders, Suspects: f.suspects, News: func() { f.exchanger.News() }, Proof: f.proof, Servers: f.servers, Table: f.table.Load,
 		Bounds: f.forwardBounds, Instances: f.Instances, Stopping: f.stopping, Observe: f.metrics.observe,
 	})
-	var err error
 	f.copies = newCopies(opts.Clock, s.Instance)
 	f.exchanger, err = waxpeer.NewExchanger(ctx, f.loads, waxpeer.Options{
 		Self: waxpeer.Peer{Name: s.Instance, FailureDomain: s.FailureDomain, Address: f.peerAddress()}, Clock: opts.Clock, Log: opts.Log, Counts: f.servers.Counts, Holders: f.holders, Suspects: f.suspects,
--- a/waxrouter/route.go
+++ b/waxrouter/route.go
@@ -27,10 +27,10 @@
 )
 
 func init() {
-	var file, level string
+	var file, level, traces string
 	c := &cobra.Command{
 		Use: "route", Short: "Run the instance on the platform until SIGTERM, then stop gracefully", Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error { return route(cmd.Context(), file, level) },
+		RunE: func(cmd *cobra.Command, _ []string) error { return route(cmd.Context(), file, level, traces) },
 	}
 	def := os.Getenv(waxadapter.SettingsVariable)
 	if def == "" {
@@ -38,12 +38,13 @@
 	}
 	c.Flags().StringVar(&file, "settings-file", def, "settings file in the platform's format")
 	c.Flags().StringVar(&level, "log-level", "info", "debug, info, warn or error")
+	c.Flags().StringVar(&traces, "trace-file", "", "file that receives spans as JSON; - is standard output, empty turns tracing off")
 	register(c)
 }
 
 // route runs the instance. SIGHUP and a change of the file read the settings
 // again.
-func route(ctx context.Context, file, level string) error {
+func route(ctx context.Context, file, level, traceFile string) error {
 	var l slog.Level
 	if err := l.UnmarshalText([]byte(level)); err != nil {
 		return waxfleet.NewError(waxfleet.CodeSettingInvalid, "--log-level is %q; allowed: debug, info, warn, error", level)
@@ -52,6 +53,10 @@
 	if err != nil {
 		return err
 	}
+	traces, err := traceWriter(traceFile)
+	if err != nil {
+		return err
+	}
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * heapShare * (1 << 20)))
 	logCtx, endLog := context.WithCancel(context.WithoutCancel(ctx))
 	out := waxlog.NewWriter(logCtx, os.Stdout)
@@ -66,7 +71,7 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	front, err := waxfront.New(ctx, waxfront.Options{
 		Settings: s, Store: waxadapter.NewStore(s.StoreAddress), Protocol: waxadapter.NewProtocol(),
-		ReadyPath: waxadapter.ReadyPath(), Clock: waxfleet.NewClock(), Log: log, DroppedLogs: out.Dropped,
+		ReadyPath: waxadapter.ReadyPath(), Clock: waxfleet.NewClock(), Log: log, Traces: traces, DroppedLogs: out.Dropped,
 	})
 	if err != nil {
 		return err
