--- a/waxfleet/waxpick/pick.go
+++ b/waxfleet/waxpick/pick.go
@@ -6,6 +6,8 @@
 	"math"
 
 	"github.com/cespare/xxhash/v2"
+
+	"waxwingdrift.org/waxfleet/waxplace"
 )
 
 // Candidate is a backend server as the decision sees it.
@@ -114,14 +116,8 @@
 	Shared int
 }
 
-// rank is the rendezvous weight of a server for a key. The finalizer is that of
-// splitmix64.
-func rank(key uint64, id string) uint64 {
-	x := key ^ (xxhash.Sum64String(id) + 0x9e3779b97f4a7c15)
-	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
-	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
-	return x ^ (x >> 31)
-}
+// rank is the rendezvous weight of a server for a key.
+func rank(key uint64, id string) uint64 { return waxplace.Weight(key, xxhash.Sum64String(id)) }
 
 // meanLoad returns the mean over the servers that are not down.
 func meanLoad(candidates []Candidate) float64 {
--- a/waxfleet/waxplace/rendezvous.go
+++ b/waxfleet/waxplace/rendezvous.go
@@ -9,9 +9,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// weight is the rendezvous weight of id for a key. The finalizer is the one of
+// Weight is the rendezvous weight of id for a key. The finalizer is the one of
 // splitmix64; without it, XOR of two hashes ranks similar ids alike.
-func weight(key, id uint64) uint64 {
+func Weight(key, id uint64) uint64 {
 	x := key ^ (id + 0x9e3779b97f4a7c15)
 	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
 	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
@@ -28,7 +28,7 @@
 	k := xxhash.Sum64String(key)
 	entries := make([]entry, len(ids))
 	for i, id := range ids {
-		entries[i] = entry{id: id, weight: weight(k, xxhash.Sum64String(id))}
+		entries[i] = entry{id: id, weight: Weight(k, xxhash.Sum64String(id))}
 	}
 	sort.Slice(entries, func(i, j int) bool {
 		if entries[i].weight != entries[j].weight {
@@ -48,7 +48,7 @@
 	k := xxhash.Sum64String(key)
 	best, bestWeight := "", uint64(0)
 	for _, id := range ids {
-		w := weight(k, xxhash.Sum64String(id))
+		w := Weight(k, xxhash.Sum64String(id))
 		if best == "" || w > bestWeight || (w == bestWeight && id < best) {
 			best, bestWeight = id, w
 		}
