--- a/waxfleet/waxforward/forwarder.go
+++ b/waxfleet/waxforward/forwarder.go
@@ -126,7 +126,7 @@
 	defer f.active.Add(-1)
 	c := &call{
 		in: f.opts.Protocol.Inbound(r), arrived: f.opts.Clock.Now(), method: r.Method, target: r.RequestURI,
-		host: r.Host, tried: map[string]bool{}, sink: newSink(w, f.opts.Protocol),
+		host: r.Host, tried: map[string]bool{}, sink: newSink(w, f.opts.Protocol, f.opts.Clock),
 	}
 	if stopping, _ := f.opts.Stopping(); stopping {
 		w.Header().Set("Connection", "close")
--- a/waxfleet/waxforward/pass.go
+++ b/waxfleet/waxforward/pass.go
@@ -41,10 +41,10 @@
 	switch {
 	case promises(a.Status):
 		return resultMayHaveRun, waxfleet.NewError(waxfleet.CodeBackendError, "the server answered %d without saying that the request has not run", a.Status)
-	case a.Status >= 500 && c.route.Repeatable() && f.mayRepeatFailure(c):
-		return resultFailure, waxfleet.NewError(waxfleet.CodeBackendError, "the server answered %d", a.Status)
 	case c.sink.started():
-		return resultFailure, waxfleet.NewError(waxfleet.CodeStreamIncomplete, "the server answered %d to the resumption", a.Status)
+		return resultMayHaveRun, waxfleet.NewError(waxfleet.CodeStreamIncomplete, "the server answered %d to the resumption", a.Status)
+	case a.Status >= 500 && f.mayRepeat(c, resultFailure):
+		return resultFailure, waxfleet.NewError(waxfleet.CodeBackendError, "the server answered %d", a.Status)
 	}
 	if len(body) < maxBuffered {
 		c.sink.head(a.Status, a.Header, lengthFor(c.method, a, len(body)))
@@ -57,12 +57,6 @@
 	return f.copyRest(c, a)
 }
 
-// mayRepeatFailure reports whether the request could be repeated after the
-// server's own failure; the retry budget is asked later.
-func (f *Forwarder) mayRepeatFailure(c *call) bool {
-	return c.runs < c.route.Attempts() && c.sends < maxSends && c.deadline-f.opts.Clock.Now() >= minimumRest
-}
-
 func lengthFor(method string, a *waxpool.Answer, read int) int64 {
 	if method == http.MethodHead {
 		return a.Length
--- a/waxfleet/waxforward/run.go
+++ b/waxfleet/waxforward/run.go
@@ -25,7 +25,8 @@
 	resultNotRun
 	// resultMayHaveRun means that the answer is missing or broken.
 	resultMayHaveRun
-	// resultFailure means that the server answered with a failure of its own.
+	// resultFailure means that the server answered with a failure of its own, which
+	// was not passed on because another server may run the request.
 	resultFailure
 	// resultCallerLeft means that the caller's connection ended.
 	resultCallerLeft
@@ -67,7 +68,8 @@
 			return f.ended(ctx, c)
 		}
 		last = err
-		again := f.mayRepeat(c, res)
+		// A failure of the server's own was held back because it may be repeated.
+		again := res == resultFailure || f.mayRepeat(c, res)
 		f.opts.Log.Warn("send failed", "request", c.in.ID, "server", id, "result", res.String(), "error", err.Error(),
 			"runs", c.runs, "attempts", c.route.Attempts(), "again", again)
 		if !again {
--- a/waxfleet/waxforward/sink.go
+++ b/waxfleet/waxforward/sink.go
@@ -21,8 +21,8 @@
 	lastEvent int64
 }
 
-func newSink(w http.ResponseWriter, protocol waxfleet.Protocol) *sink {
-	return &sink{w: w, flusher: http.NewResponseController(w), protocol: protocol, clock: waxfleet.NewClock(), lastEvent: -1}
+func newSink(w http.ResponseWriter, protocol waxfleet.Protocol, clock *waxfleet.Clock) *sink {
+	return &sink{w: w, flusher: http.NewResponseController(w), protocol: protocol, clock: clock, lastEvent: -1}
 }
 
 // started reports whether the head of an answer has gone out.
