waxforward: take the entry of a server when it is chosen

Cause: the entry was read without the lock after the choice, while a change of the entry wrote it (data race; TestConcurrentCalls fails before under -race). Change: the call keeps the entry that the choice saw.

--- a/waxfleet/waxforward/forwarder.go
+++ b/waxfleet/waxforward/forwarder.go
@@ -109,8 +109,8 @@
 	tried     map[string]bool
 	sends     int
 	runs      int
-	// server is the last server that the call was sent to.
-	server string
+	// entry is that of the last server that was chosen, as it was then.
+	entry waxfleet.EngineEntry
 	// digest identifies the request when its caller sends it again.
 	digest string
 	// source is the address of an engine that hands over parts of the prompt.
@@ -249,7 +249,7 @@
 	now := f.opts.Clock.Now()
 	attrs := []any{
 		"request", c.in.ID, "route", c.route.Name(), "service", c.service, "workspace", c.workspace.Name,
-		"server", c.server, "sends", c.sends, "runs", c.runs, "code", int(code), "outcome", code.Name(),
+		"server", c.entry.Server().ID(), "sends", c.sends, "runs", c.runs, "code", int(code), "outcome", code.Name(),
 		"status", c.sink.status, "first-byte-ms", int64(c.sink.firstByte(c.arrived)), "total-ms", int64(now - c.arrived),
 	}
 	if c.table != nil {
--- a/waxfleet/waxforward/place.go
+++ b/waxfleet/waxforward/place.go
@@ -61,6 +61,7 @@
 		v.cold.Take(now, rate, burst)
 	}
 	v.inFlight++
+	c.entry = v.entry
 	c.source = f.source(v, held)
 	c.pending = max(0, c.in.PromptTokens-held[v.hash])
 	v.pending += c.pending
--- a/waxfleet/waxforward/run.go
+++ b/waxfleet/waxforward/run.go
@@ -46,8 +46,8 @@
 		if v == nil {
 			return f.noServer(c, string(choice.Reason), last)
 		}
-		id := v.entry.Server().ID()
-		c.tried[id], c.server = true, id
+		id := c.entry.Server().ID()
+		c.tried[id] = true
 		heard, age := f.opts.Loads.Heard()
 		f.opts.Log.Info("placed", "request", c.in.ID, "server", id, "reason", string(choice.Reason), "send", c.sends+1,
 			"load", choice.Load, "pending-tokens", c.pending, "shared-tokens", c.key.Tokens(), "source", c.source, "mean", round(choice.Mean), "limit", choice.Limit, "peers", heard, "peer-age-ms", int64(age),
--- a/waxfleet/waxforward/send.go
+++ b/waxfleet/waxforward/send.go
@@ -29,8 +29,8 @@
 	if err != nil {
 		return resultNotSent, err
 	}
-	id := v.entry.Server().ID()
-	if !f.opts.Directory.Usable(id, v.entry.Born()) {
+	id := c.entry.Server().ID()
+	if !f.opts.Directory.Usable(id, c.entry.Born()) {
 		conn.Discard()
 		return resultNotSent, waxfleet.NewError(waxfleet.CodeBackendLeaving, "%s takes no new work", id)
 	}
--- a/waxfleet/waxforward/suspect.go
+++ b/waxfleet/waxforward/suspect.go
@@ -40,7 +40,7 @@
 // connection has ended.
 func (f *Forwarder) suspect(ctx context.Context, c *call, v *server) {
 	digest, id := c.digest, c.in.ID
-	entry := v.entry
+	entry := c.entry
 	life := entry.Server().ID() + "/" + strconv.FormatInt(entry.Born(), 10)
 	ctx = context.WithoutCancel(ctx)
 	go func() {
