--- a/waxctl/trace.go
+++ b/waxctl/trace.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -122,6 +121,6 @@
 	for name, value := range fields {
 		out = append(out, fmt.Sprintf("%s=%v", name, value))
 	}
-	slices.SortFunc(out, func(x, y string) int { return cmp.Compare(x, y) })
+	slices.Sort(out)
 	return strings.Join(out, " ")
 }
