--- a/waxfleet/waxcache/holders.go
+++ b/waxfleet/waxcache/holders.go
@@ -20,12 +20,12 @@
 	// maxHolders bounds the engines remembered for one part. More are not noted:
 	// replacing one by another would be news for all instances at each request.
 	maxHolders = 64
-	// tellings is the number of datagrams that carry a new holding, so that a few
+	// updateCopies is the number of datagrams that carry a new holding, so that a few
 	// lost ones do no harm.
-	tellings = 3
-	// maxNews bounds the holdings that wait to be told: the oldest go first when
+	updateCopies = 3
+	// maxUpdates bounds the holdings that wait to be sent: the oldest go first when
 	// twice as many wait.
-	maxNews = 2_000
+	maxUpdates = 2_000
 )
 
 // Holding says that an engine holds a part of a prompt.
@@ -87,25 +87,25 @@
 
 // Holders is the table of holdings. It is safe for concurrent use.
 type Holders struct {
-	mu    sync.Mutex
-	parts *lru.Cache[uint64, []uint32]
-	news  [scopes][]news
+	mu      sync.Mutex
+	parts   *lru.Cache[uint64, []uint32]
+	updates [scopes][]update
 }
 
-// Scope says whom holdings are told.
+// Scope says to whom holdings are sent.
 type Scope int
 
 // Scopes.
 const (
-	// ToGroup are the instances that are told one by one.
+	// ToGroup are the instances that exchange datagrams directly.
 	ToGroup Scope = iota
 	// ToRemote are the other failure domains of a large fleet.
 	ToRemote
 	scopes = 2
 )
 
-// news is a holding that other instances have to be told.
-type news struct {
+// update is a holding that is still to be sent to other instances.
+type update struct {
 	holding Holding
 	left    int
 }
@@ -137,9 +137,9 @@
 	return out
 }
 
-// Sent notes that the prompt was sent to an engine, which holds its shared parts
-// from then on. It reports whether that is news for other instances.
-func (h *Holders) Sent(k Key, server uint32) bool {
+// Record notes that the prompt was sent to an engine, which holds its shared parts
+// from then on. It reports whether other instances have to learn of it.
+func (h *Holders) Record(k Key, server uint32) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	isNews := false
@@ -153,9 +153,9 @@
 	return isNews
 }
 
-// Told notes a holding that another instance tells, and queues it for the scope
-// if it is news. It reports whether it is.
-func (h *Holders) Told(holding Holding, scope Scope) bool {
+// Merge notes a holding from another instance, and queues it for the scope if it
+// was unknown. It reports whether it was.
+func (h *Holders) Merge(holding Holding, scope Scope) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.add(holding) {
@@ -168,9 +168,9 @@
 // queue keeps a holding for the next datagrams; the oldest go first when too many
 // wait. The caller holds the lock.
 func (h *Holders) queue(scope Scope, holding Holding) {
-	h.news[scope] = append(h.news[scope], news{holding: holding, left: tellings})
-	if len(h.news[scope]) > 2*maxNews {
-		h.news[scope] = slices.Clone(h.news[scope][maxNews:])
+	h.updates[scope] = append(h.updates[scope], update{holding: holding, left: updateCopies})
+	if len(h.updates[scope]) > 2*maxUpdates {
+		h.updates[scope] = slices.Clone(h.updates[scope][maxUpdates:])
 	}
 }
 
@@ -205,14 +205,14 @@
 	}
 }
 
-// News returns at most limit holdings for the next datagram of a scope.
-func (h *Holders) News(scope Scope, limit int) []Holding {
+// Updates returns at most limit holdings for the next datagram of a scope.
+func (h *Holders) Updates(scope Scope, limit int) []Holding {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	waiting := h.news[scope]
+	waiting := h.updates[scope]
 	n := min(limit, len(waiting))
 	out := make([]Holding, 0, n)
-	kept := make([]news, 0, len(waiting))
+	kept := make([]update, 0, len(waiting))
 	for i, v := range waiting {
 		if i < n {
 			out = append(out, v.holding)
@@ -222,7 +222,7 @@
 			kept = append(kept, v)
 		}
 	}
-	h.news[scope] = kept
+	h.updates[scope] = kept
 	return out
 }
 
--- a/waxfleet/waxcache/holders_test.go
+++ b/waxfleet/waxcache/holders_test.go
@@ -23,9 +23,9 @@
 	is := is.New(t)
 	h := NewHolders()
 	a, b := ServerHash("engine-1", 1), ServerHash("engine-2", 1)
-	is.True(h.Sent(prompt(school, letter, own), a))
-	is.True(!h.Sent(prompt(school, letter, memo), a)) // the last part belongs to the request alone
-	h.Sent(prompt(school, memo, own), b)
+	is.True(h.Record(prompt(school, letter, own), a))
+	is.True(!h.Record(prompt(school, letter, memo), a)) // the last part belongs to the request alone
+	h.Record(prompt(school, memo, own), b)
 
 	is.Equal(h.Held(prompt(school, letter, own)), map[uint32]int{a: 8500, b: 2500})
 	is.Equal(h.Held(prompt(school, memo, own)), map[uint32]int{a: 2500, b: 3200})
@@ -49,7 +49,7 @@
 	for range 3 {
 		for s := range uint32(engines) {
 			one := waxfleet.PromptPart{ID: "own-of-engine", Tokens: int(s)}
-			if h.Sent(prompt(school, waxfleet.PromptPart{ID: string(rune('A' + s)), Tokens: 6000}, one), s) {
+			if h.Record(prompt(school, waxfleet.PromptPart{ID: string(rune('A' + s)), Tokens: 6000}, one), s) {
 				news++
 			}
 		}
@@ -66,33 +66,33 @@
 	is.True(ServerHash("engine-1", 1) != ServerHash("engine-1", 2))
 }
 
-// TestNews guards against a holding that peers never learn of because one
+// TestUpdates guards against a holding that peers never learn of because one
 // datagram was lost, and against telling it forever.
-func TestNews(t *testing.T) {
+func TestUpdates(t *testing.T) {
 	is := is.New(t)
 	h := NewHolders()
-	h.Sent(prompt(school, letter, own), 7)
-	for range tellings {
-		is.Equal(len(h.News(ToGroup, 10)), 2)
+	h.Record(prompt(school, letter, own), 7)
+	for range updateCopies {
+		is.Equal(len(h.Updates(ToGroup, 10)), 2)
 	}
-	is.Equal(len(h.News(ToGroup, 10)), 0)
+	is.Equal(len(h.Updates(ToGroup, 10)), 0)
 
 	other := NewHolders()
 	for _, v := range h.All() {
-		is.True(other.Told(v, ToRemote))
+		is.True(other.Merge(v, ToRemote))
 	}
 	is.Equal(other.Held(prompt(school, letter, own)), h.Held(prompt(school, letter, own)))
-	is.Equal(len(other.News(ToGroup, 10)), 0) // what the group told is not told the group
-	is.Equal(len(other.News(ToRemote, 10)), 2)
+	is.Equal(len(other.Updates(ToGroup, 10)), 0) // what the group told is not told the group
+	is.Equal(len(other.Updates(ToRemote, 10)), 2)
 }
 
-// TestNewsAreBounded guards against datagrams that grow beyond a frame.
-func TestNewsAreBounded(t *testing.T) {
+// TestUpdatesAreBounded guards against datagrams that grow beyond a frame.
+func TestUpdatesAreBounded(t *testing.T) {
 	is := is.New(t)
 	h := NewHolders()
 	for i := range 100 {
-		h.Sent(prompt(waxfleet.PromptPart{ID: string(rune('a' + i)), Tokens: 1}, own), 7)
+		h.Record(prompt(waxfleet.PromptPart{ID: string(rune('a' + i)), Tokens: 1}, own), 7)
 	}
-	is.Equal(len(h.News(ToGroup, 60)), 60)
+	is.Equal(len(h.Updates(ToGroup, 60)), 60)
 	is.Equal(len(h.All()), 100)
 }
--- a/waxfleet/waxfollow/follower.go
+++ b/waxfleet/waxfollow/follower.go
@@ -55,7 +55,7 @@
 	// close together cost one call.
 	Pace waxfleet.Millis
 	// LongestRetry bounds the pause after a failed call, in ms. The instance and feed
-	// with the shortest one find out first that the store is back; Kick ends the
+	// with the shortest one find out first that the store is back; Interrupt ends the
 	// pauses of the others.
 	LongestRetry func() waxfleet.Millis
 	// StoreFailed is called after each failed call to the store.
@@ -72,9 +72,9 @@
 	lost bool
 	done chan struct{}
 
-	mu     sync.Mutex
-	cancel context.CancelFunc
-	kicked bool
+	mu          sync.Mutex
+	cancel      context.CancelFunc
+	interrupted bool
 }
 
 // New returns a follower that runs until ctx ends.
@@ -90,12 +90,12 @@
 // Done is closed when the follower has ended.
 func (f *Follower[T]) Done() <-chan struct{} { return f.done }
 
-// Kick ends the present call or pause, so that the next call is made at once.
-func (f *Follower[T]) Kick() {
+// Interrupt ends the present call or pause, so that the next call is made at once.
+func (f *Follower[T]) Interrupt() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.cancel != nil {
-		f.kicked = true
+		f.interrupted = true
 		f.cancel()
 	}
 }
@@ -115,7 +115,7 @@
 			if left := f.opts.Pace - (f.opts.Clock.Now() - started); left > 0 {
 				_ = f.opts.Clock.Sleep(ctx, left)
 			}
-		case ctx.Err() != nil || f.wasKicked():
+		case ctx.Err() != nil || f.wasInterrupted():
 		case waxfleet.CodeOf(err) == waxfleet.CodeHistoryGone:
 			f.opts.Log.Warn("history gone, listing again", "feed", f.opts.Name, "revision", revision)
 			listed = false
@@ -130,27 +130,27 @@
 	}
 }
 
-// rest waits before the next call, unless Kick is called.
+// rest waits before the next call, unless Interrupt is called.
 func (f *Follower[T]) rest(ctx context.Context, pause waxfleet.Millis) {
 	restCtx, cancel := f.begin(ctx, pause)
 	defer cancel()
 	<-restCtx.Done()
 }
 
-func (f *Follower[T]) wasKicked() bool {
+func (f *Follower[T]) wasInterrupted() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	kicked := f.kicked
-	f.kicked = false
-	return kicked
+	interrupted := f.interrupted
+	f.interrupted = false
+	return interrupted
 }
 
-// begin returns the context of a call or pause, which Kick ends.
+// begin returns the context of a call or pause, which Interrupt ends.
 func (f *Follower[T]) begin(ctx context.Context, timeout waxfleet.Millis) (context.Context, context.CancelFunc) {
 	callCtx, cancel := context.WithTimeout(ctx, timeout.Duration())
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.cancel, f.kicked = cancel, false
+	f.cancel, f.interrupted = cancel, false
 	return callCtx, cancel
 }
 
--- a/waxfleet/waxforward/forwarder.go
+++ b/waxfleet/waxforward/forwarder.go
@@ -50,8 +50,8 @@
 	Loads     *waxpeer.Loads
 	Holders   *waxcache.Holders
 	Suspects  *waxsuspect.Register
-	// News is called when other instances should learn of new holdings.
-	News    func()
+	// Flush is called when other instances should learn of new holdings.
+	Flush   func()
 	Proof   *waxfresh.Proof
 	Servers *Servers
 	// Table returns the configuration in force, or nil before the first one.
--- a/waxfleet/waxforward/place.go
+++ b/waxfleet/waxforward/place.go
@@ -65,8 +65,8 @@
 	c.source = f.source(v, held)
 	c.pending = max(0, c.in.PromptTokens-held[v.hash])
 	v.pending += c.pending
-	if f.opts.Holders.Sent(c.key, v.hash) {
-		f.opts.News()
+	if f.opts.Holders.Record(c.key, v.hash) {
+		f.opts.Flush()
 	}
 	return v, choice
 }
--- a/waxfleet/waxfront/follow.go
+++ b/waxfleet/waxfront/follow.go
@@ -61,18 +61,18 @@
 // copies holds this instance's copies of the store's objects.
 type copies struct {
 	replicas map[string]*waxreplica.Replica
-	plan     *waxreplica.Plan
+	selector *waxreplica.Selector
 	peers    *waxreplica.Peers
 
-	mu    sync.Mutex
-	kicks map[string]func()
-	lost  map[string]bool
+	mu         sync.Mutex
+	interrupts map[string]func()
+	lost       map[string]bool
 }
 
 func newCopies(clock *waxfleet.Clock, instance string) *copies {
 	c := &copies{
-		replicas: map[string]*waxreplica.Replica{}, plan: waxreplica.NewPlan(clock, instance),
-		peers: waxreplica.NewPeers(), kicks: map[string]func(){}, lost: map[string]bool{},
+		replicas: map[string]*waxreplica.Replica{}, selector: waxreplica.NewSelector(clock, instance),
+		peers: waxreplica.NewPeers(), interrupts: map[string]func(){}, lost: map[string]bool{},
 	}
 	for _, feed := range feedOrder {
 		c.replicas[feed] = waxreplica.New(clock)
@@ -80,19 +80,19 @@
 	return c
 }
 
-func (c *copies) setKick(feed string, kick func()) {
+func (c *copies) setInterrupt(feed string, interrupt func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.kicks[feed] = kick
+	c.interrupts[feed] = interrupt
 }
 
-// kick ends the present call or pause of a feed's follower.
-func (c *copies) kick(feed string) {
+// interrupt ends the present call or pause of a feed's follower.
+func (c *copies) interrupt(feed string) {
 	c.mu.Lock()
-	kick := c.kicks[feed]
+	interrupt := c.interrupts[feed]
 	c.mu.Unlock()
-	if kick != nil {
-		kick()
+	if interrupt != nil {
+		interrupt()
 	}
 }
 
@@ -112,7 +112,7 @@
 	}
 	for _, other := range feedOrder {
 		if other != feed {
-			c.kick(other)
+			c.interrupt(other)
 		}
 	}
 }
@@ -129,14 +129,14 @@
 	return true
 }
 
-// kickLost ends the pauses of the feeds that have lost the store.
-func (c *copies) kickLost() {
+// interruptLost ends the pauses of the feeds that have lost the store.
+func (c *copies) interruptLost() {
 	for _, feed := range feedOrder {
 		c.mu.Lock()
 		lost := c.lost[feed]
 		c.mu.Unlock()
 		if lost {
-			c.kick(feed)
+			c.interrupt(feed)
 		}
 	}
 }
@@ -173,9 +173,9 @@
 		apply(b, asOf)
 		waxreplica.Update(f.copies.replicas[name], b, asOf)
 	}
-	opts.Pace, opts.StoreFailed = feedPaces[name], f.copies.plan.StoreFailed
+	opts.Pace, opts.StoreFailed = feedPaces[name], f.copies.selector.StoreFailed
 	opts.LongestRetry = func() waxfleet.Millis {
-		if alive, whole := f.group(); name == FeedConfig && f.copies.plan.Watches(alive, whole) {
+		if alive, whole := f.group(); name == FeedConfig && f.copies.selector.Watches(alive, whole) {
 			return configRetry
 		}
 		return otherRetry
@@ -193,7 +193,7 @@
 		}
 		f.copies.setLost(name, false)
 	}
-	opts.PeerFailed = func(peer string, _ error) { f.copies.plan.Failed(peer) }
+	opts.PeerFailed = func(peer string, _ error) { f.copies.selector.Failed(peer) }
 	opts.Source = func() waxfollow.Source[T] {
 		source := waxfollow.Source[T]{Feed: store, Wait: feedWaits[name]}
 		peer, address := f.source()
@@ -206,7 +206,7 @@
 		}
 		return source
 	}
-	f.copies.setKick(name, waxfollow.New(ctx, opts).Kick)
+	f.copies.setInterrupt(name, waxfollow.New(ctx, opts).Interrupt)
 }
 
 // group returns the instances of the own group that were heard lately, and
@@ -225,7 +225,7 @@
 // Only instances of the own group are followed.
 func (f *Front) source() (peer, address string) {
 	alive, whole := f.group()
-	peer = f.copies.plan.Source(alive, whole)
+	peer = f.copies.selector.Source(alive, whole)
 	for _, p := range f.exchanger.Topology().Group {
 		if p.Name == peer {
 			return peer, p.Address
@@ -244,8 +244,8 @@
 		now := f.opts.Clock.Now()
 		if !f.copies.storeAnswers() && f.loads.StoreAnswers() && now-returned >= returnPause {
 			returned = now
-			f.copies.plan.StoreReturned()
-			f.copies.kickLost()
+			f.copies.selector.StoreReturned()
+			f.copies.interruptLost()
 		}
 		for i, revision := range f.loads.Revisions() {
 			if i >= len(feedOrder) {
@@ -269,8 +269,8 @@
 			}
 			f.log.Warn("copy is behind, asking the store", "feed", feed, "revision", reached, "others", revision)
 			delete(since, feed)
-			f.copies.plan.Behind()
-			f.copies.kick(feed)
+			f.copies.selector.Behind()
+			f.copies.interrupt(feed)
 		}
 	}
 }
--- a/waxfleet/waxpeer/exchanger.go
+++ b/waxfleet/waxpeer/exchanger.go
@@ -32,16 +32,16 @@
 	maxDatagram = 1_400
 	// maxHoldings is the number of holdings in a datagram, of 12 bytes each.
 	maxHoldings = 60
-	// newsInterval is the least time between datagrams that carry new holdings, in
+	// flushInterval is the least time between datagrams that carry new holdings, in
 	// ms. Until peers know of one, they may have a prompt read a second time.
-	newsInterval waxfleet.Millis = 20
+	flushInterval waxfleet.Millis = 20
 	// suspicionTime is how long a new suspicion stands in datagrams, in ms.
 	suspicionTime waxfleet.Millis = 2_000
 	// maxSuspicions is the number of suspicions in a datagram.
 	maxSuspicions = 10
-	// tellers is the number of instances that send all holdings to one that has
+	// snapshotSenders is the number of instances that send all holdings to one that has
 	// just started.
-	tellers = 2
+	snapshotSenders = 2
 )
 
 // Options configure an Exchanger.
@@ -67,7 +67,7 @@
 	loads *Loads
 	conn  *net.UDPConn
 	start int64
-	news  chan struct{}
+	flush chan struct{}
 
 	mu        sync.Mutex
 	peers     []Peer
@@ -86,13 +86,13 @@
 		return nil, waxfleet.WrapError(err, waxfleet.CodeSettingInvalid, "the datagram address %q can't be opened", opts.Self.Address)
 	}
 	e := &Exchanger{
-		opts: opts, loads: loads, conn: conn, start: int64(opts.Clock.Wall()), news: make(chan struct{}, 1),
+		opts: opts, loads: loads, conn: conn, start: int64(opts.Clock.Wall()), flush: make(chan struct{}, 1),
 		addresses: map[string]*net.UDPAddr{},
 	}
 	context.AfterFunc(ctx, func() { _ = conn.Close() })
 	go func() { e.receive(ctx) }()
-	go func() { e.tellGroup(ctx) }()
-	go func() { e.tellRemote(ctx) }()
+	go func() { e.broadcastGroup(ctx) }()
+	go func() { e.broadcastRemote(ctx) }()
 	return e, nil
 }
 
@@ -124,10 +124,10 @@
 	return Plan(e.opts.Self, peers, e.loads.Alive)
 }
 
-// News asks for a datagram soon, because there are new holdings.
-func (e *Exchanger) News() {
+// Flush asks for a datagram soon, because there are new holdings.
+func (e *Exchanger) Flush() {
 	select {
-	case e.news <- struct{}{}:
+	case e.flush <- struct{}{}:
 	default:
 	}
 }
@@ -147,13 +147,13 @@
 			e.opts.Log.Warn("datagram unreadable", "bytes", n, "error", err.Error())
 			continue
 		}
-		e.take(&d)
+		e.merge(&d)
 	}
 }
 
-// take applies a datagram. Holdings from another failure domain are told to the
-// own one, and those of the own one to the others.
-func (e *Exchanger) take(d *waxwire.LoadDatagram) {
+// merge applies a datagram. Holdings from another failure domain are broadcast to
+// the own group, and those of the own group to other failure domains.
+func (e *Exchanger) merge(d *waxwire.LoadDatagram) {
 	scope := waxcache.ToRemote
 	if d.GetOwn() == nil {
 		scope = waxcache.ToGroup
@@ -161,11 +161,11 @@
 	fresh := false
 	for i, part := range d.GetHeldParts() {
 		if i < len(d.GetHolders()) {
-			fresh = e.opts.Holders.Told(waxcache.Holding{Part: part, Server: d.GetHolders()[i]}, scope) || fresh
+			fresh = e.opts.Holders.Merge(waxcache.Holding{Part: part, Server: d.GetHolders()[i]}, scope) || fresh
 		}
 	}
 	if fresh && scope == waxcache.ToGroup {
-		e.News()
+		e.Flush()
 	}
 	for _, v := range d.GetSuspicions() {
 		if e.opts.Suspects.Merge(v.GetDigest(), int(v.GetDeaths()), int(v.GetCleared()), waxfleet.Millis(v.GetRemainingMs())) {
@@ -175,19 +175,19 @@
 	if d.GetSequence() == 0 {
 		return
 	}
-	if e.loads.Take(d) {
-		e.tellAll(d.GetInstance())
+	if e.loads.Merge(d) {
+		e.sendSnapshot(d.GetInstance())
 	}
 }
 
-// tellGroup tells the instances that are told one by one.
-func (e *Exchanger) tellGroup(ctx context.Context) {
+// broadcastGroup sends the own counts to the group.
+func (e *Exchanger) broadcastGroup(ctx context.Context) {
 	var last map[uint32]Count
 	var lastRevisions []uint64
 	var lastAt waxfleet.Millis
 	for e.wait(ctx, groupPause(len(e.Topology().Group))) {
 		counts, revisions := e.opts.Counts(), e.opts.Revisions()
-		holdings := e.opts.Holders.News(waxcache.ToGroup, maxHoldings)
+		holdings := e.opts.Holders.Updates(waxcache.ToGroup, maxHoldings)
 		relayed := e.loads.relayed()
 		now := e.opts.Clock.Now()
 		if now-lastAt < repeatInterval && len(holdings) == 0 && len(relayed) == 0 &&
@@ -207,11 +207,12 @@
 	return groupInterval * waxfleet.Millis(max(others+1, meshSize)) / meshSize
 }
 
-// tellRemote tells other failure domains, if the instance is a gateway.
-func (e *Exchanger) tellRemote(ctx context.Context) {
+// broadcastRemote sends the sums of the own failure domain to the others, if the
+// instance is a gateway.
+func (e *Exchanger) broadcastRemote(ctx context.Context) {
 	for e.opts.Clock.Sleep(ctx, remoteInterval) == nil {
 		t := e.Topology()
-		holdings := e.opts.Holders.News(waxcache.ToRemote, maxHoldings)
+		holdings := e.opts.Holders.Updates(waxcache.ToRemote, maxHoldings)
 		if !t.Gateway || len(t.Remote) == 0 {
 			continue
 		}
@@ -231,14 +232,14 @@
 		return true
 	case <-ctx.Done():
 		return false
-	case <-e.news:
-		return e.opts.Clock.Sleep(ctx, newsInterval) == nil
+	case <-e.flush:
+		return e.opts.Clock.Sleep(ctx, flushInterval) == nil
 	}
 }
 
-// tellAll sends all holdings to an instance that has just started, if this
-// instance is one of its tellers.
-func (e *Exchanger) tellAll(instance uint64) {
+// sendSnapshot sends all holdings to an instance that has just started, if this
+// instance is one of its senders.
+func (e *Exchanger) sendSnapshot(instance uint64) {
 	var to *Peer
 	before := 0
 	mine := HashOf(e.opts.Self.Name) ^ instance
@@ -250,7 +251,7 @@
 			before++
 		}
 	}
-	if to == nil || before >= tellers {
+	if to == nil || before >= snapshotSenders {
 		return
 	}
 	for holdings := range slices.Chunk(e.opts.Holders.All(), maxHoldings) {
--- a/waxfleet/waxpeer/loads.go
+++ b/waxfleet/waxpeer/loads.go
@@ -70,9 +70,9 @@
 	return &Loads{clock: clock, domain: HashOf(failureDomain), reports: map[uint64]report{}, domains: map[uint64]counts{}}
 }
 
-// Take applies a datagram and reports whether its sender is a new incarnation of
+// Merge applies a datagram and reports whether its sender is a new incarnation of
 // an instance of the own group.
-func (l *Loads) Take(d *waxwire.LoadDatagram) (started bool) {
+func (l *Loads) Merge(d *waxwire.LoadDatagram) (started bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
--- a/waxfleet/waxpeer/peer_test.go
+++ b/waxfleet/waxpeer/peer_test.go
@@ -32,15 +32,15 @@
 	is := is.New(t)
 	clock := waxfleet.NewManualClock(1_000)
 	l := NewLoads(clock, "caerdydd")
-	is.True(l.Take(counted(5, 2, 3, 900)))
-	is.True(!l.Take(counted(5, 1, 7, 0))) // late
+	is.True(l.Merge(counted(5, 2, 3, 900)))
+	is.True(!l.Merge(counted(5, 1, 7, 0))) // late
 	is.Equal(l.Counts()[ServerHash("e1")], Count{InFlight: 3, Pending: 900})
 	is.True(l.Alive("r1"))
 	is.True(!l.Alive("r2"))
 	is.Equal(l.Revisions(), []uint64{9, 4})
 
-	is.True(l.Take(counted(6, 1, 1, 0))) // started again
-	is.True(!l.Take(counted(5, 3, 9, 0)))
+	is.True(l.Merge(counted(6, 1, 1, 0))) // started again
+	is.True(!l.Merge(counted(5, 3, 9, 0)))
 	is.Equal(l.Counts()[ServerHash("e1")].InFlight, 1)
 
 	clock.Advance(silence)
@@ -73,9 +73,9 @@
 		return loads
 	}
 	early, late := waxcache.NewHolders(), waxcache.NewHolders()
-	early.Sent(key, 7)
+	early.Record(key, 7)
 	for range 10 {
-		early.News(waxcache.ToGroup, 10) // was told before the other instance started
+		early.Updates(waxcache.ToGroup, 10) // was told before the other instance started
 	}
 	first := start("r1", early, 2)
 	second := start("r2", late, 5)
@@ -107,17 +107,17 @@
 	clock := waxfleet.NewManualClock(10_000)
 	gateway, member := NewLoads(clock, "caerdydd"), NewLoads(clock, "caerdydd")
 	abertawe := NewLoads(clock, "abertawe")
-	abertawe.Take(counted(1, 1, 4, 100))
+	abertawe.Merge(counted(1, 1, 4, 100))
 	sum := &waxwire.LoadDatagram{
 		Instance: HashOf("a1"), Incarnation: 1, Sequence: 1,
 		Domains: []*waxwire.Counts{abertawe.domainSum(map[uint32]Count{ServerHash("e1"): {InFlight: 2, Pending: 50}})},
 	}
-	is.True(!gateway.Take(sum)) // an instance of another failure domain needs no holdings
+	is.True(!gateway.Merge(sum)) // an instance of another failure domain needs no holdings
 	is.Equal(gateway.Counts()[ServerHash("e1")], Count{InFlight: 6, Pending: 150})
 
 	clock.Advance(400)
 	relay := &waxwire.LoadDatagram{Instance: HashOf("c1"), Incarnation: 1, Sequence: 1, Own: &waxwire.Counts{}, Domains: gateway.relayed()}
-	member.Take(relay)
+	member.Merge(relay)
 	is.Equal(member.Counts()[ServerHash("e1")].InFlight, 6)
 	is.Equal(len(member.relayed()), 0) // what was relayed is not relayed again
 	_, oldest := member.Heard()
--- a/waxfleet/waxreplica/replica_test.go
+++ b/waxfleet/waxreplica/replica_test.go
@@ -131,9 +131,9 @@
 	is.Equal(b.Lag, waxfleet.Millis(1_300))
 }
 
-// TestPlan guards against a fleet in which nobody watches the store, and against
+// TestSelector guards against a fleet in which nobody watches the store, and against
 // an instance that goes on following a copy that failed it.
-func TestPlan(t *testing.T) {
+func TestSelector(t *testing.T) {
 	is := is.New(t)
 	all := []string{"r1", "r2", "r3", "r4", "r5", "r6", "r7"}
 	chosen := Watchers(all, true)
@@ -142,7 +142,7 @@
 	clock := waxfleet.NewManualClock(1_000)
 	for _, name := range all {
 		others := slices.DeleteFunc(slices.Clone(all), func(n string) bool { return n == name })
-		p := NewPlan(clock, name)
+		p := NewSelector(clock, name)
 		source := p.Source(others, true)
 		is.Equal(source == "", slices.Contains(chosen, name))
 		is.Equal(p.Source(nil, true), "") // alone
--- a/waxfleet/waxreplica/plan.go
+++ b/waxfleet/waxreplica/selector.go
@@ -44,10 +44,10 @@
 	return order[:min(n, len(order))]
 }
 
-// Plan decides whether an instance watches the store itself or follows the copy
+// Selector decides whether an instance watches the store itself or follows the copy
 // of another one. It answers the pattern of a fleet that is larger than the
 // store's rates. It is safe for concurrent use.
-type Plan struct {
+type Selector struct {
 	clock    *waxfleet.Clock
 	instance string
 
@@ -57,15 +57,15 @@
 	avoidUntil  map[string]waxfleet.Millis
 }
 
-// NewPlan returns a plan for an instance.
-func NewPlan(clock *waxfleet.Clock, instance string) *Plan {
-	return &Plan{clock: clock, instance: instance, avoidUntil: map[string]waxfleet.Millis{}}
+// NewSelector returns a selector for an instance.
+func NewSelector(clock *waxfleet.Clock, instance string) *Selector {
+	return &Selector{clock: clock, instance: instance, avoidUntil: map[string]waxfleet.Millis{}}
 }
 
 // Source returns the instance to follow, or "" for the store itself. alive holds
 // the instances of the group that were heard lately, whole tells that the group
 // is the whole fleet.
-func (p *Plan) Source(alive []string, whole bool) string {
+func (p *Selector) Source(alive []string, whole bool) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
@@ -90,7 +90,7 @@
 
 // Failed notes that the copy of an instance can't be followed. The next calls go
 // to the store.
-func (p *Plan) Failed(peer string) {
+func (p *Selector) Failed(peer string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
@@ -102,7 +102,7 @@
 // watch the store, it follows another instance for a while. It answers the
 // pattern of a store that turns many instances away, or all, which otherwise each
 // ask it twice a second.
-func (p *Plan) StoreFailed() {
+func (p *Selector) StoreFailed() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.storeUntil = p.clock.Now() + storeAvoidTime
@@ -110,7 +110,7 @@
 
 // StoreReturned notes that the store answers other instances again, so that their
 // copies can be followed.
-func (p *Plan) StoreReturned() {
+func (p *Selector) StoreReturned() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	clear(p.avoidUntil)
@@ -118,13 +118,13 @@
 }
 
 // Watches reports whether the instance is one of those that watch the store.
-func (p *Plan) Watches(alive []string, whole bool) bool {
+func (p *Selector) Watches(alive []string, whole bool) bool {
 	return slices.Contains(Watchers(append(slices.Clone(alive), p.instance), whole), p.instance)
 }
 
 // Behind notes that other instances have seen changes that the followed copy does
 // not have. The next calls go to the store.
-func (p *Plan) Behind() {
+func (p *Selector) Behind() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.directUntil = p.clock.Now() + directTime
