waxpeer: hear instances whose time of day was set back

Cause: the incarnation of an instance is its start by the time of day. One that started again after its clock was set back was taken for an old one for good (TestLoads fails before). Change: an earlier incarnation that has fallen silent no longer counts.

--- a/waxfleet/waxpeer/loads.go
+++ b/waxfleet/waxpeer/loads.go
@@ -77,8 +77,11 @@
 	defer l.mu.Unlock()
 	now := l.clock.Now()
 	old, known := l.reports[d.GetInstance()]
-	if known && (d.GetIncarnation() < old.incarnation ||
-		d.GetIncarnation() == old.incarnation && d.GetSequence() <= old.sequence) {
+	late := d.GetIncarnation() < old.incarnation ||
+		d.GetIncarnation() == old.incarnation && d.GetSequence() <= old.sequence
+	// An instance whose time of day was set back starts with a lower incarnation;
+	// its datagrams count once the earlier one has fallen silent.
+	if known && late && now-old.at < silence {
 		return false
 	}
 	r := report{incarnation: d.GetIncarnation(), sequence: d.GetSequence(), revisions: d.GetRevisions(), storeAnswers: d.GetStoreAnswers()}
--- a/waxfleet/waxpeer/peer_test.go
+++ b/waxfleet/waxpeer/peer_test.go
@@ -48,6 +48,9 @@
 	is.True(!l.Alive("r1"))
 	n, _ := l.Heard()
 	is.Equal(n, 0)
+
+	is.True(l.Merge(counted(4, 1, 2, 0))) // started again after the time of day was set back
+	is.True(l.Alive("r1"))
 }
 
 // TestExchange guards against instances that do not learn each other's counts
