--- a/waxfleet/exchange.go
+++ b/waxfleet/exchange.go
@@ -29,15 +29,6 @@
 	Header http.Header
 }
 
-// SharedTokens returns the tokens of all parts but the last.
-func (in Inbound) SharedTokens() int {
-	n := 0
-	for i := 0; i+1 < len(in.Parts); i++ {
-		n += in.Parts[i].Tokens
-	}
-	return n
-}
-
 // Outbound holds what the router adds to a request for one backend server.
 type Outbound struct {
 	// Server is the only backend server that may run the request.
@@ -55,14 +46,6 @@
 	CacheSource string
 }
 
-// ServerLoad is what a backend server says of its load in an answer.
-type ServerLoad struct {
-	Known   bool
-	Running int
-	Waiting int
-	Slots   int
-}
-
 // AnswerHead is the head of a backend server's answer without the names of the
 // wire.
 type AnswerHead struct {
@@ -75,7 +58,6 @@
 	NotRun bool
 	// WrongServer answers come from another server than the one addressed.
 	WrongServer bool
-	Load        ServerLoad
 	// IdleTime is how long the server keeps an idle connection; 0 when unknown.
 	IdleTime Millis
 	// Close tells that the server ends the connection after this answer.
--- a/waxfleet/waxforward/place.go
+++ b/waxfleet/waxforward/place.go
@@ -32,7 +32,7 @@
 	whole := f.servers.serviceState(c.service)
 	counts := f.opts.Loads.Counts()
 	held := f.opts.Holders.Held(c.key)
-	known := make(map[string]*server, len(listed))
+	known, cold := make(map[string]*server, len(listed)), map[string]bool{}
 	candidates := make([]waxpick.Candidate, 0, len(listed))
 	for _, d := range listed {
 		v := f.servers.get(d.Entry(), connections)
@@ -43,6 +43,7 @@
 		one.Pending = v.pending + others.Pending
 		one.Held = held[v.hash]
 		candidates = append(candidates, one)
+		cold[d.ID()] = one.Cold
 	}
 	var choice waxpick.Choice
 	if contract.CacheTokens > 0 || !c.key.Empty() {
@@ -56,7 +57,7 @@
 	if v == nil {
 		return nil, choice
 	}
-	if f.isCold(choice.ID, listed, now) {
+	if cold[choice.ID] {
 		rate, burst := f.coldShare(contract, choice.ID, instances)
 		v.cold.Take(now, rate, burst)
 	}
@@ -92,6 +93,7 @@
 	return best
 }
 
+// candidate returns a server as the choice sees it, without loads and holdings.
 func (f *Forwarder) candidate(d waxdirectory.Server, v *server, whole *service, contract waxfleet.ServiceContract, instances []string, now waxfleet.Millis) waxpick.Candidate {
 	c := waxpick.Candidate{
 		ID: d.ID(), FailureDomain: d.Entry().Server().FailureDomain(),
@@ -106,15 +108,7 @@
 	return c
 }
 
-func (f *Forwarder) isCold(id string, listed []waxdirectory.Server, now waxfleet.Millis) bool {
-	for _, d := range listed {
-		if d.ID() == id {
-			return d.Cold(now)
-		}
-	}
-	return false
-}
-
+// coldShare returns this instance's part of what a cold server bears.
 func (f *Forwarder) coldShare(contract waxfleet.ServiceContract, id string, instances []string) (float64, int) {
 	b := f.opts.Bounds()
 	bound := waxquota.ColdBound{PerSecond: contract.ColdPerSecond, Overshoot: b.ColdOvershoot, Slack: b.ColdSlack}
--- a/waxfleet/waxfront/drain.go
+++ b/waxfleet/waxfront/drain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"waxwingdrift.org/waxfleet"
 )
@@ -74,6 +73,3 @@
 	}
 	_ = clock.Sleep(ctx, rotationMargin)
 }
-
-// DrainTime returns the longest time that Drain takes.
-func (f *Front) DrainTime() time.Duration { return f.bounds.Load().Grace.Duration() }
