--- a/waxfleet/waxforward/sink.go
+++ b/waxfleet/waxforward/sink.go
@@ -108,11 +108,7 @@
 // has not run, so that an error without this promise becomes 502.
 func statusOf(e *waxfleet.Error) int {
 	status := e.Code().Status()
-	if e.NotRun() {
-		return status
-	}
-	switch status {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+	if !e.NotRun() && promises(status) {
 		return http.StatusBadGateway
 	}
 	return status
