waxbound: begin the outage of restart-in-outage when an instance has the change

The run begins an outage right after the acceptance of a change; traces of six runs show that in four of them no instance had the change at that moment and got it from a watch that was answered just before. Ruled out: the one-hop path, which the run does not use. Open: in one of the six traces router-3 still had the old version 3 s into the outage, while six others had the new one; no bound was broken by it.

--- a/waxload/waxbound/domain.go
+++ b/waxload/waxbound/domain.go
@@ -27,8 +27,11 @@
 }
 
 // restartInOutage restarts an instance of the domain that was taken out, with
-// the platform down. Callers use it as soon as it says that it is ready.
+// the platform down. Callers use it as soon as it says that it is ready. The
+// outage begins when the first instance has the change: before, nobody could
+// know it.
 func restartInOutage(r *rig) (killed string, at waxfleet.Millis) {
+	r.awaitFirst()
 	r.faults(waxplatform.Faults{Outage: true})
 	r.callers.Avoid("router-5")
 	at = r.clock.Now()
--- a/waxload/waxbound/rig.go
+++ b/waxload/waxbound/rig.go
@@ -31,6 +31,8 @@
 	mu sync.Mutex
 	// found is what a run itself finds wrong.
 	found []Violation
+	// newest is the version of the last configuration that moved a domain.
+	newest uint64
 }
 
 // newRig starts a fleet whose routers all take calls. It ends with ctx.
@@ -124,9 +126,20 @@
 func (r *rig) setDomain(in bool) waxfleet.Millis {
 	version, err := r.SetDomain(r.ctx, outDomain, in)
 	r.must(err)
+	r.newest = version
 	return r.accepted(version)
 }
 
+// awaitFirst waits until one instance has the newest configuration.
+func (r *rig) awaitFirst() {
+	for r.ctx.Err() == nil {
+		if slices.ContainsFunc(r.Routers(), func(x *waxembed.Router) bool { return x.Node.ConfigVersion() >= r.newest }) {
+			return
+		}
+		r.sleep(1)
+	}
+}
+
 func (r *rig) router(id string) *waxembed.Router {
 	routers := r.Routers()
 	return routers[slices.IndexFunc(routers, func(x *waxembed.Router) bool { return x.ID == id })]
