--- a/waxfleet/waxfront/follow.go
+++ b/waxfleet/waxfront/follow.go
@@ -102,13 +102,13 @@
 func (c *copies) setLost(feed string, lost bool) {
 	c.mu.Lock()
 	c.lost[feed] = lost
-	any := false
+	lostOne := false
 	for _, l := range c.lost {
-		any = any || l
+		lostOne = lostOne || l
 	}
 	c.mu.Unlock()
 	for _, r := range c.replicas {
-		r.SetLost(any)
+		r.SetLost(lostOne)
 	}
 	for _, other := range feedOrder {
 		if other != feed {
--- a/waxfleet/waxreplica/selector.go
+++ b/waxfleet/waxreplica/selector.go
@@ -65,23 +65,23 @@
 // Source returns the instance to follow, or "" for the store itself. alive holds
 // the instances of the group that were heard lately, whole tells that the group
 // is the whole fleet.
-func (p *Selector) Source(alive []string, whole bool) string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.clock.Now()
-	if now < p.directUntil && now >= p.storeUntil {
+func (s *Selector) Source(alive []string, whole bool) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	if now < s.directUntil && now >= s.storeUntil {
 		return ""
 	}
-	chosen := Watchers(append(slices.Clone(alive), p.instance), whole)
-	if slices.Contains(chosen, p.instance) {
+	chosen := Watchers(append(slices.Clone(alive), s.instance), whole)
+	if slices.Contains(chosen, s.instance) {
 		return ""
 	}
 	best, bestRank := "", uint64(0)
 	for _, w := range chosen {
-		if now < p.avoidUntil[w] {
+		if now < s.avoidUntil[w] {
 			continue
 		}
-		if rank := xxhash.Sum64String(w + "\x00" + p.instance); best == "" || rank > bestRank {
+		if rank := xxhash.Sum64String(w + "\x00" + s.instance); best == "" || rank > bestRank {
 			best, bestRank = w, rank
 		}
 	}
@@ -90,42 +90,42 @@
 
 // Failed notes that the copy of an instance can't be followed. The next calls go
 // to the store.
-func (p *Selector) Failed(peer string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.clock.Now()
-	p.avoidUntil[peer] = now + avoidTime
-	p.directUntil = now + directTime
+func (s *Selector) Failed(peer string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	s.avoidUntil[peer] = now + avoidTime
+	s.directUntil = now + directTime
 }
 
 // StoreFailed notes that the store did not answer this instance. If it need not
 // watch the store, it follows another instance for a while. It answers the
 // pattern of a store that turns many instances away, or all, which otherwise each
 // ask it twice a second.
-func (p *Selector) StoreFailed() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.storeUntil = p.clock.Now() + storeAvoidTime
+func (s *Selector) StoreFailed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.storeUntil = s.clock.Now() + storeAvoidTime
 }
 
 // StoreReturned notes that the store answers other instances again, so that their
 // copies can be followed.
-func (p *Selector) StoreReturned() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	clear(p.avoidUntil)
-	p.storeUntil = 0
+func (s *Selector) StoreReturned() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.avoidUntil)
+	s.storeUntil = 0
 }
 
 // Watches reports whether the instance is one of those that watch the store.
-func (p *Selector) Watches(alive []string, whole bool) bool {
-	return slices.Contains(Watchers(append(slices.Clone(alive), p.instance), whole), p.instance)
+func (s *Selector) Watches(alive []string, whole bool) bool {
+	return slices.Contains(Watchers(append(slices.Clone(alive), s.instance), whole), s.instance)
 }
 
 // Behind notes that other instances have seen changes that the followed copy does
 // not have. The next calls go to the store.
-func (p *Selector) Behind() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.directUntil = p.clock.Now() + directTime
+func (s *Selector) Behind() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.directUntil = s.clock.Now() + directTime
 }
