waxfront: let idle connections end by their read deadline on a stop

The server of the library closes idle connections from outside, and takes a connection for idle until the header is parsed. Ruled out: a later close of idle connections (same race). Change: the stop sets the read deadline of idle connections; a request that was read is served and its deadline taken back.

--- a/waxfleet/waxfront/drain.go
+++ b/waxfleet/waxfront/drain.go
@@ -44,7 +44,7 @@
 	f.stopAt.Store(int64(started + grace - exitMargin))
 	f.log.Info("stopping", "active", f.forwarder.Active(), "grace-ms", int64(grace))
 	// Answers now close their connections, and idle ones are closed.
-	f.callers.SetKeepAlivesEnabled(false)
+	f.idle.expire()
 	ctx, cancel := context.WithTimeout(ctx, (grace - exitMargin).Duration())
 	defer cancel()
 	go func() {
@@ -70,6 +70,9 @@
 		if clock.Sleep(ctx, drainLook) != nil {
 			return
 		}
+		f.idle.expire()
 	}
 	_ = clock.Sleep(ctx, rotationMargin)
+	f.idle.expire()
+	_ = clock.Sleep(ctx, drainLook)
 }
--- a/waxfleet/waxfront/front.go
+++ b/waxfleet/waxfront/front.go
@@ -83,6 +83,7 @@
 	forwarder *waxforward.Forwarder
 	metrics   *metrics
 	callers   *http.Server
+	idle      *idleConns
 
 	mu        sync.Mutex
 	instances []string
@@ -137,8 +138,9 @@
 // listen opens the addresses for callers, for the load balancer and for metrics.
 func (f *Front) listen(ctx context.Context) error {
 	s := f.opts.Settings
+	f.idle = newIdleConns()
 	f.callers = &http.Server{
-		Handler: f.forwarder, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader,
+		Handler: f.forwarder, ConnState: f.idle.track, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader,
 		ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
 	}
 	ready := echo.New()
