waxreplica: replace a lost watcher by one instance and not by its whole group

Cause: on grown deployments the calls to the store are the largest price. After an outage all 69 watched it for ten seconds and more, because a feed that seldom changes counted as lost until its next watch ended (up to 20 s), so that no copy was passed on; and each instance avoided all others.

Change: instances of a group follow the first usable one in a fixed order, so that a failure moves the watch by one instance; an instance that follows a later one passes nothing on, so that copies can't go in circles; only instances that tell of answers of the store are followed; the first call after a loss does not wait; a return of the store clears what was avoided; entries of servers are asked for each 300 ms instead of 150 ms while they change.

--- a/waxfleet/waxfollow/follower.go
+++ b/waxfleet/waxfollow/follower.go
@@ -7,7 +7,6 @@
 	"context"
 	"log/slog"
 	"sync"
-	"time"
 
 	"github.com/cenkalti/backoff/v4"
 
@@ -15,8 +14,9 @@
 )
 
 const (
-	// firstRetry is the pause after the first failed call.
-	firstRetry = 100 * time.Millisecond
+	// copyPause is the pause after the second and each further copy that fails, in ms.
+	// Meanwhile other instances tell whether the store answers them.
+	copyPause waxfleet.Millis = 200
 	// answerTime is how long an answer may take beyond the wait of a watch, in ms.
 	// A slow store takes some hundred ms. With the shortest wait it bounds how long
 	// a silent store goes unnoticed, which has to stay clearly below the two seconds
@@ -54,16 +54,16 @@
 	// Pace is the least time between two calls, in ms, so that changes which come
 	// close together cost one call.
 	Pace waxfleet.Millis
-	// LongestRetry bounds the pause after a failed call, in ms. The instance and feed
-	// with the shortest one find out first that the store is back; Interrupt ends the
-	// pauses of the others.
-	LongestRetry func() waxfleet.Millis
+	// Retry returns the bounds of the pause after a failed call, in ms. The instance
+	// and feed with the shortest one find out first that the store is back; Interrupt
+	// ends the pauses of the others.
+	Retry func() (first, longest waxfleet.Millis)
 	// StoreFailed is called after each failed call to the store.
 	StoreFailed func()
 	// Lost is called when the store fails, and Regained when the copy is current
-	// again, by the store's answer or by another instance's copy.
+	// again, by the store's answer or by the copy of the instance named.
 	Lost     func(err error)
-	Regained func()
+	Regained func(peer string)
 }
 
 // Follower keeps a copy of a feed current.
@@ -101,7 +101,9 @@
 }
 
 func (f *Follower[T]) run(ctx context.Context) {
-	pause := backoff.NewExponentialBackOff(backoff.WithInitialInterval(firstRetry), backoff.WithMaxElapsedTime(0))
+	pause := backoff.NewExponentialBackOff(backoff.WithMaxElapsedTime(0))
+	pausing := false
+	copiesFailed := 0
 	var revision uint64
 	listed := false
 	for ctx.Err() == nil {
@@ -110,7 +112,7 @@
 		next, err := f.step(ctx, source, listed, revision)
 		switch {
 		case err == nil:
-			pause.Reset()
+			pausing, copiesFailed = false, 0
 			listed, revision = true, next
 			if left := f.opts.Pace - (f.opts.Clock.Now() - started); left > 0 {
 				_ = f.opts.Clock.Sleep(ctx, left)
@@ -122,9 +124,20 @@
 		case source.Peer != "":
 			f.opts.Log.Warn("copy failed", "feed", f.opts.Name, "peer", source.Peer, "error", err.Error())
 			f.opts.PeerFailed(source.Peer, err)
+			if copiesFailed++; copiesFailed > 1 {
+				f.rest(ctx, copyPause)
+			}
 		default:
 			f.failed(err)
-			pause.MaxInterval = f.opts.LongestRetry().Duration()
+			if f.opts.Source().Peer != "" {
+				continue
+			}
+			first, longest := f.opts.Retry()
+			pause.InitialInterval, pause.MaxInterval = first.Duration(), longest.Duration()
+			if !pausing {
+				pause.Reset()
+				pausing = true
+			}
 			f.rest(ctx, waxfleet.MillisOf(pause.NextBackOff()))
 		}
 	}
@@ -163,6 +176,10 @@
 	}
 	var b waxfleet.Batch[T]
 	var err error
+	if f.lost {
+		// The copy is not passed on until this call returns.
+		source.Wait = 0
+	}
 	if listed {
 		callCtx, cancel := f.begin(ctx, source.Wait+answer)
 		defer cancel()
@@ -178,7 +195,7 @@
 	if source.MaxLag > 0 && b.Lag > source.MaxLag {
 		return 0, waxfleet.NewError(waxfleet.CodePeerUnreachable, "the copy is %d ms old", b.Lag)
 	}
-	f.regained()
+	f.regained(source.Peer)
 	f.report(b.Records)
 	f.opts.Apply(b, sent-b.Lag)
 	return b.Revision, nil
@@ -206,13 +223,13 @@
 	}
 }
 
-func (f *Follower[T]) regained() {
+func (f *Follower[T]) regained(peer string) {
 	if !f.lost {
 		return
 	}
 	f.lost = false
-	f.opts.Log.Info("dependency regained", "dependency", "store", "feed", f.opts.Name)
+	f.opts.Log.Info("dependency regained", "dependency", "store", "feed", f.opts.Name, "peer", peer)
 	if f.opts.Regained != nil {
-		f.opts.Regained()
+		f.opts.Regained(peer)
 	}
 }
--- a/waxfleet/waxfront/follow.go
+++ b/waxfleet/waxfront/follow.go
@@ -32,16 +32,10 @@
 // feedPaces are the least times between two calls, in ms. They are short against
 // the seconds within which a change has to be in force.
 var feedPaces = map[string]waxfleet.Millis{
-	FeedConfig: 50, FeedServers: 150, FeedEvacuations: 150, FeedPeers: 1_000,
+	FeedConfig: 50, FeedServers: 300, FeedEvacuations: 150, FeedPeers: 1_000,
 }
 
 const (
-	// configRetry and otherRetry bound the pause after a failed call to the store,
-	// in ms. Only the configuration, on which the proof of keys rests, is asked for
-	// often while the store is away, and only by the instances that watch it; the
-	// other feeds and instances follow when it is back.
-	configRetry waxfleet.Millis = 500
-	otherRetry  waxfleet.Millis = 4_000
 	// maxCopyLag is the age of another instance's copy of the configuration from
 	// which it is no longer followed, in ms: two waits, a call and its answer.
 	maxCopyLag waxfleet.Millis = 2_200
@@ -75,7 +69,7 @@
 		peers: waxreplica.NewPeers(), interrupts: map[string]func(){}, lost: map[string]bool{},
 	}
 	for _, feed := range feedOrder {
-		c.replicas[feed] = waxreplica.New(clock)
+		c.replicas[feed] = waxreplica.New(clock, c.selector.Serves)
 	}
 	return c
 }
@@ -97,8 +91,9 @@
 }
 
 // setLost notes whether the store answers the calls of a feed. While one of them
-// fails no copy is passed on, and the other feeds find out at once whether theirs
-// fail too.
+// fails no copy is passed on. When one is lost, those that hold proofs and the
+// entries of backend servers find out at once whether theirs fail too; when it is
+// back, all do.
 func (c *copies) setLost(feed string, lost bool) {
 	c.mu.Lock()
 	c.lost[feed] = lost
@@ -111,7 +106,7 @@
 		r.SetLost(lostOne)
 	}
 	for _, other := range feedOrder {
-		if other != feed {
+		if other != feed && (!lost || other == FeedConfig || other == FeedServers) {
 			c.interrupt(other)
 		}
 	}
@@ -158,7 +153,7 @@
 	store := f.opts.Store
 	followFeed(ctx, f, FeedConfig, store.Configurations(), waxfollow.Options[*waxtable.Table]{Apply: f.applyConfig})
 	followFeed(ctx, f, FeedServers, store.BackendServers(), waxfollow.Options[waxfleet.EngineEntry]{
-		Apply: f.applyServers, Lost: func(error) { f.directory.StoreLost() }, Regained: f.directory.StoreRegained,
+		Apply: f.applyServers, Lost: func(error) { f.directory.StoreLost() }, Regained: func(string) { f.directory.StoreRegained() },
 	})
 	followFeed(ctx, f, FeedEvacuations, store.Evacuations(), waxfollow.Options[waxfleet.Evacuation]{Apply: f.evacuations()})
 	followFeed[waxfleet.PeerEntry](ctx, f, FeedPeers, store.Peers(), waxfollow.Options[waxfleet.PeerEntry]{Apply: f.peers()})
@@ -174,11 +169,9 @@
 		waxreplica.Update(f.copies.replicas[name], b, asOf)
 	}
 	opts.Pace, opts.StoreFailed = feedPaces[name], f.copies.selector.StoreFailed
-	opts.LongestRetry = func() waxfleet.Millis {
-		if alive, whole := f.group(); name == FeedConfig && f.copies.selector.Watches(alive, whole) {
-			return configRetry
-		}
-		return otherRetry
+	opts.Retry = func() (first, longest waxfleet.Millis) {
+		alive, whole := f.group(f.loads.Alive)
+		return f.copies.selector.Retry(alive, whole, name == FeedConfig)
 	}
 	lost, regained := opts.Lost, opts.Regained
 	opts.Lost = func(err error) {
@@ -187,9 +180,12 @@
 		}
 		f.copies.setLost(name, true)
 	}
-	opts.Regained = func() {
+	opts.Regained = func(peer string) {
 		if regained != nil {
-			regained()
+			regained(peer)
+		}
+		if peer == "" {
+			f.copies.selector.StoreReturned()
 		}
 		f.copies.setLost(name, false)
 	}
@@ -209,23 +205,23 @@
 	f.copies.setInterrupt(name, waxfollow.New(ctx, opts).Interrupt)
 }
 
-// group returns the instances of the own group that were heard lately, and
-// whether the group is the whole fleet.
-func (f *Front) group() (alive []string, whole bool) {
+// group returns the instances of the own group that pass the test, and whether
+// the group is the whole fleet.
+func (f *Front) group(test func(name string) bool) (names []string, whole bool) {
 	t := f.exchanger.Topology()
 	for _, p := range t.Group {
-		if f.loads.Alive(p.Name) {
-			alive = append(alive, p.Name)
+		if test(p.Name) {
+			names = append(names, p.Name)
 		}
 	}
-	return alive, t.Whole
+	return names, t.Whole
 }
 
 // source returns the instance to follow with its address, or "" for the store.
 // Only instances of the own group are followed.
 func (f *Front) source() (peer, address string) {
-	alive, whole := f.group()
-	peer = f.copies.selector.Source(alive, whole)
+	answered, whole := f.group(f.loads.Answered)
+	peer = f.copies.selector.Source(answered, whole)
 	for _, p := range f.exchanger.Topology().Group {
 		if p.Name == peer {
 			return peer, p.Address
--- a/waxfleet/waxpeer/loads.go
+++ b/waxfleet/waxpeer/loads.go
@@ -215,6 +215,15 @@
 	return ok && l.clock.Now()-r.at < silence
 }
 
+// Answered reports whether the instance with the name was heard lately and has
+// answers of the store.
+func (l *Loads) Answered(name string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, ok := l.reports[HashOf(name)]
+	return ok && r.storeAnswers && l.clock.Now()-r.at < silence
+}
+
 // Revisions returns the highest revisions that other instances have seen changes
 // at, in the order of the feeds.
 func (l *Loads) Revisions() []uint64 {
--- a/waxfleet/waxreplica/replica.go
+++ b/waxfleet/waxreplica/replica.go
@@ -20,6 +20,8 @@
 // Replica is this instance's copy of one feed in its stored form.
 type Replica struct {
 	clock *waxfleet.Clock
+	// serves reports whether other instances may follow this copy.
+	serves func() bool
 
 	mu       sync.Mutex
 	records  map[string]*waxwire.ReplicaRecord
@@ -35,9 +37,9 @@
 	changed chan struct{}
 }
 
-// New returns an empty copy.
-func New(clock *waxfleet.Clock) *Replica {
-	return &Replica{clock: clock, records: map[string]*waxwire.ReplicaRecord{}, changed: make(chan struct{})}
+// New returns an empty copy, which is passed on while serves says so.
+func New(clock *waxfleet.Clock, serves func() bool) *Replica {
+	return &Replica{clock: clock, serves: serves, records: map[string]*waxwire.ReplicaRecord{}, changed: make(chan struct{})}
 }
 
 // Revision returns the store's revision that the copy has reached; 0 before the
@@ -107,7 +109,7 @@
 		r.mu.Lock()
 		reply, changed, lost := r.reply(after), r.changed, r.lost
 		r.mu.Unlock()
-		if lost {
+		if lost || !r.serves() {
 			return nil, waxfleet.NewError(waxfleet.CodePlatformUnreachable, "the store does not answer this instance")
 		}
 		if reply != nil && (len(reply.GetRecords()) > 0 || reply.GetFull() || timeout.Err() != nil) {
