waxfront: leave a followed instance that has fallen silent

Three of seven machines stood still, among them those that watch the store; the others followed one paused copy after the other, each for the 1.7 s that a call may take, and sent to a leaving server 2.27 s after its entry said so. Ruled out: the pace of the watches (300 ms), a late entry (the store had it in time).

--- a/waxfleet/waxdirectory/directory.go
+++ b/waxfleet/waxdirectory/directory.go
@@ -3,6 +3,8 @@
 package waxdirectory
 
 import (
+	"maps"
+	"slices"
 	"sync"
 
 	"waxwingdrift.org/waxfleet"
@@ -241,6 +243,20 @@
 	return out
 }
 
+// All returns all known servers and the failure domains that get no new work, both
+// in the order of their names.
+func (d *Directory) All() ([]Server, []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var servers []Server
+	for _, id := range slices.Sorted(maps.Keys(d.servers)) {
+		c := *d.servers[id]
+		c.coldUntil = max(c.coldUntil, d.coldUntil[c.entry.Server().FailureDomain()])
+		servers = append(servers, c)
+	}
+	return servers, slices.Sorted(maps.Keys(d.evacuated))
+}
+
 // Usable reports whether the server may still get new work. It is asked right
 // before a request is sent.
 func (d *Directory) Usable(id string, born int64) bool {
--- a/waxfleet/waxforward/server.go
+++ b/waxfleet/waxforward/server.go
@@ -62,6 +62,15 @@
 	return out
 }
 
+// Down reports whether the server gets no request now because it could not be
+// reached.
+func (s *Servers) Down(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.servers[id]
+	return v != nil && v.health.Down(s.clock.Now())
+}
+
 // Keep ends the connections to servers that are no longer in the directory, and
 // closes idle connections whose time is over.
 func (s *Servers) Keep(d *waxdirectory.Directory, holders *waxcache.Holders) {
--- a/waxfleet/waxfront/follow.go
+++ b/waxfleet/waxfront/follow.go
@@ -124,6 +124,13 @@
 	return true
 }
 
+// interruptAll ends the present calls of all feeds.
+func (c *copies) interruptAll() {
+	for _, feed := range feedOrder {
+		c.interrupt(feed)
+	}
+}
+
 // interruptLost ends the pauses of the feeds that have lost the store.
 func (c *copies) interruptLost() {
 	for _, feed := range feedOrder {
@@ -230,14 +237,21 @@
 	return "", ""
 }
 
-// watchBehind asks the store when other instances have seen changes that are
-// missing here: the followed copy, or the connection to the store, has fallen
-// silent.
+// watchBehind leaves a followed instance that has fallen silent, and looks
+// elsewhere when other instances have seen changes that are missing here.
 func (f *Front) watchBehind(ctx context.Context) {
 	since := map[string]waxfleet.Millis{}
 	var returned waxfleet.Millis
+	silent := ""
 	for f.opts.Clock.Sleep(ctx, behindLook) == nil {
 		now := f.opts.Clock.Now()
+		if peer := f.copies.selector.Followed(); peer == "" || f.loads.Answered(peer) {
+			silent = ""
+		} else if peer != silent {
+			silent = peer
+			f.log.Warn("followed instance is silent", "peer", peer)
+			f.copies.interruptAll()
+		}
 		if !f.copies.storeAnswers() && f.loads.StoreAnswers() && now-returned >= returnPause {
 			returned = now
 			f.copies.selector.StoreReturned()
--- a/waxfleet/waxfront/front.go
+++ b/waxfleet/waxfront/front.go
@@ -28,6 +28,7 @@
 	"waxwingdrift.org/waxfleet/waxreplica"
 	"waxwingdrift.org/waxfleet/waxsuspect"
 	"waxwingdrift.org/waxfleet/waxtable"
+	"waxwingdrift.org/waxfleet/waxwire/waxwireconnect"
 )
 
 const (
@@ -149,6 +150,8 @@
 	peers.GET("/metrics", echo.WrapHandler(f.metrics.handler))
 	path, handler := waxreplica.NewServer(f.copies.replicas)
 	peers.Any(path+"*", echo.WrapHandler(handler))
+	path, handler = waxwireconnect.NewInspectionHandler(&inspection{front: f})
+	peers.Any(path+"*", echo.WrapHandler(handler))
 	for _, l := range []struct {
 		address string
 		server  *http.Server
--- a/waxfleet/waxreplica/selector.go
+++ b/waxfleet/waxreplica/selector.go
@@ -119,6 +119,13 @@
 	})
 }
 
+// Followed returns the instance that was last chosen to be followed, or "".
+func (s *Selector) Followed() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.followed
+}
+
 // Serves reports whether other instances may follow this one's copies.
 func (s *Selector) Serves() bool {
 	s.mu.Lock()
--- a/waxfleet/waxwire/waxwireconnect/load.connect.go
+++ b/waxfleet/waxwire/waxwireconnect/load.connect.go
@@ -23,6 +23,8 @@
 const (
 	// ReplicaName is the fully-qualified name of the Replica service.
 	ReplicaName = "waxwire.Replica"
+	// InspectionName is the fully-qualified name of the Inspection service.
+	InspectionName = "waxwire.Inspection"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -35,6 +37,8 @@
 const (
 	// ReplicaFollowProcedure is the fully-qualified name of the Replica's Follow RPC.
 	ReplicaFollowProcedure = "/waxwire.Replica/Follow"
+	// InspectionStateProcedure is the fully-qualified name of the Inspection's State RPC.
+	InspectionStateProcedure = "/waxwire.Inspection/State"
 )
 
 // ReplicaClient is a client for the waxwire.Replica service.
@@ -110,3 +114,73 @@
 func (UnimplementedReplicaHandler) Follow(context.Context, *connect.Request[waxwire.FollowRequest]) (*connect.Response[waxwire.FollowReply], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("waxwire.Replica.Follow is not implemented"))
 }
+
+// InspectionClient is a client for the waxwire.Inspection service.
+type InspectionClient interface {
+	State(context.Context, *connect.Request[waxwire.StateRequest]) (*connect.Response[waxwire.StateReply], error)
+}
+
+// NewInspectionClient constructs a client for the waxwire.Inspection service. By default, it uses
+// the Connect protocol with the binary Protobuf Codec, asks for gzipped responses, and sends
+// uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the connect.WithGRPC() or
+// connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewInspectionClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) InspectionClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	inspectionMethods := waxwire.File_load_proto.Services().ByName("Inspection").Methods()
+	return &inspectionClient{
+		state: connect.NewClient[waxwire.StateRequest, waxwire.StateReply](
+			httpClient,
+			baseURL+InspectionStateProcedure,
+			connect.WithSchema(inspectionMethods.ByName("State")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// inspectionClient implements InspectionClient.
+type inspectionClient struct {
+	state *connect.Client[waxwire.StateRequest, waxwire.StateReply]
+}
+
+// State calls waxwire.Inspection.State.
+func (c *inspectionClient) State(ctx context.Context, req *connect.Request[waxwire.StateRequest]) (*connect.Response[waxwire.StateReply], error) {
+	return c.state.CallUnary(ctx, req)
+}
+
+// InspectionHandler is an implementation of the waxwire.Inspection service.
+type InspectionHandler interface {
+	State(context.Context, *connect.Request[waxwire.StateRequest]) (*connect.Response[waxwire.StateReply], error)
+}
+
+// NewInspectionHandler builds an HTTP handler from the service implementation. It returns the path
+// on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewInspectionHandler(svc InspectionHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	inspectionMethods := waxwire.File_load_proto.Services().ByName("Inspection").Methods()
+	inspectionStateHandler := connect.NewUnaryHandler(
+		InspectionStateProcedure,
+		svc.State,
+		connect.WithSchema(inspectionMethods.ByName("State")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/waxwire.Inspection/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case InspectionStateProcedure:
+			inspectionStateHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedInspectionHandler returns CodeUnimplemented from all methods.
+type UnimplementedInspectionHandler struct{}
+
+func (UnimplementedInspectionHandler) State(context.Context, *connect.Request[waxwire.StateRequest]) (*connect.Response[waxwire.StateReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("waxwire.Inspection.State is not implemented"))
+}
