waxforward: don't blame a request that completed lately for a server's death

Ruled out: one death counted twice (the register counts a server's life once).

Change: an instance remembers for 60 s the digests that completed there; a death during such a request does not count. A request that ends each server never completes and is refused after two deaths as before (whole/poison). Script whole/innocent fails without the change.

Conclusion: kept; a request that completed only at another instance can still be banned by two crashes.

--- a/waxfleet/waxforward/forwarder.go
+++ b/waxfleet/waxforward/forwarder.go
@@ -60,9 +60,8 @@
 	Bounds func() Bounds
 	// Instances returns the names of all router instances, this one included.
 	Instances func() []string
-	// Stopping reports whether the instance is shutting down, and how much time is
-	// left then.
-	Stopping func() (bool, waxfleet.Millis)
+	// Stopping reports whether the instance is shutting down.
+	Stopping func() bool
 	// Observe counts the end of a request.
 	Observe func(Outcome)
 }
@@ -80,13 +79,16 @@
 
 // Forwarder is the HTTP handler for callers.
 type Forwarder struct {
-	opts    Options
-	servers *Servers
-	active  atomic.Int64
+	opts      Options
+	servers   *Servers
+	completed *completions
+	active    atomic.Int64
 }
 
 // New returns a forwarder.
-func New(opts Options) *Forwarder { return &Forwarder{opts: opts, servers: opts.Servers} }
+func New(opts Options) *Forwarder {
+	return &Forwarder{opts: opts, servers: opts.Servers, completed: newCompletions(opts.Clock)}
+}
 
 // Active returns the number of requests in progress.
 func (f *Forwarder) Active() int64 { return f.active.Load() }
@@ -128,7 +130,7 @@
 		in: f.opts.Protocol.Inbound(r), arrived: f.opts.Clock.Now(), method: r.Method, target: r.RequestURI,
 		host: r.Host, tried: map[string]bool{}, sink: newSink(w, f.opts.Protocol, f.opts.Clock),
 	}
-	if stopping, _ := f.opts.Stopping(); stopping {
+	if f.opts.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
@@ -275,7 +277,7 @@
 	var status int
 	abort := c.sink.started()
 	if !abort {
-		status = c.sink.refuse(c.in.ID, err, f.retryAfter(c, code))
+		status = c.sink.refuse(c.in.ID, err, retryAfter(code))
 	}
 	f.opts.Log.Warn("request failed", append(attrs, "answered", status, "cut", abort)...)
 	if abort {
--- a/waxfleet/waxforward/run.go
+++ b/waxfleet/waxforward/run.go
@@ -59,6 +59,7 @@
 		f.servers.end(v, c.service, healthOf(res, err))
 		if res == resultDone {
 			f.opts.Suspects.Clear(c.digest)
+			f.completed.note(c.digest)
 			return nil
 		}
 		if res == resultMayHaveRun && ctx.Err() == nil {
@@ -160,7 +161,7 @@
 }
 
 // retryAfter is the time after which a refused caller should return.
-func (f *Forwarder) retryAfter(_ *call, code waxfleet.Code) waxfleet.Millis {
+func retryAfter(code waxfleet.Code) waxfleet.Millis {
 	switch code {
 	case waxfleet.CodeConfigStale, waxfleet.CodeConfigUnavailable, waxfleet.CodeStopping:
 		// Another instance may serve at once.
--- a/waxfleet/waxforward/suspect.go
+++ b/waxfleet/waxforward/suspect.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
+	lru "github.com/hashicorp/golang-lru/v2"
 
 	"waxwingdrift.org/waxfleet"
 )
@@ -14,6 +15,40 @@
 // reset the connection answers at once.
 const probeWait waxfleet.Millis = 50
 
+const (
+	// completedTime is how long a completed run speaks for a request, in ms. Clients
+	// repeat popular requests within seconds.
+	completedTime waxfleet.Millis = 60_000
+	// maxCompleted bounds the remembered digests of completed requests, of about 100
+	// bytes each.
+	maxCompleted = 10_000
+)
+
+// completions remembers which requests completed lately. It answers the pattern of
+// several servers that crash at once, each with the same popular request among its
+// work: that request does not end them, or it would never complete.
+type completions struct {
+	clock  *waxfleet.Clock
+	recent *lru.Cache[string, waxfleet.Millis]
+}
+
+func newCompletions(clock *waxfleet.Clock) *completions {
+	recent, err := lru.New[string, waxfleet.Millis](maxCompleted)
+	if err != nil {
+		panic(err) // unreachable: the size is positive
+	}
+	return &completions{clock: clock, recent: recent}
+}
+
+// note remembers that a request with the digest completed.
+func (c *completions) note(digest string) { c.recent.Add(digest, c.clock.Now()) }
+
+// lately reports whether a request with the digest completed not long ago.
+func (c *completions) lately(digest string) bool {
+	at, ok := c.recent.Get(digest)
+	return ok && c.clock.Now()-at < completedTime
+}
+
 // digestOf identifies a request by what its caller sends again with it.
 func digestOf(c *call) string {
 	d := xxhash.New()
@@ -55,7 +90,11 @@
 		if waxfleet.CodeOf(err) != waxfleet.CodePeerUnreachable {
 			return
 		}
-		deaths := f.opts.Suspects.Died(digest, life)
-		f.opts.Log.Warn("backend server died", "request", id, "server", entry.Server().ID(), "digest", digest, "deaths", deaths)
+		deaths, completed := 0, f.completed.lately(digest)
+		if !completed {
+			deaths = f.opts.Suspects.Died(digest, life)
+		}
+		f.opts.Log.Warn("backend server died", "request", id, "server", entry.Server().ID(), "digest", digest, "deaths", deaths,
+			"completed-lately", completed)
 	}()
 }
--- a/waxfleet/waxfront/drain.go
+++ b/waxfleet/waxfront/drain.go
@@ -24,16 +24,6 @@
 
 func (f *Front) isStopping() bool { return f.stopAt.Load() != 0 }
 
-// stopping reports whether the instance is shutting down, and how much time is
-// left then.
-func (f *Front) stopping() (bool, waxfleet.Millis) {
-	at := f.stopAt.Load()
-	if at == 0 {
-		return false, 0
-	}
-	return true, waxfleet.Millis(at) - f.opts.Clock.Now()
-}
-
 // Drain shuts the instance down: it says that it is not ready, serves until the
 // load balancer has noticed, and lets the work in progress end.
 func (f *Front) Drain(ctx context.Context) error {
