--- a/Makefile
+++ b/Makefile
@@ -12,11 +12,11 @@
 
 # Packages that run whole fleets take turns, and run few fleets at once, because a
 # fleet that gets no processor time looks like one that has failed.
-FLEET_PACKAGES := ./waxload/waxbound ./waxload/waxcheck ./waxload/waxcontrol ./waxload/waxembed \
+FLEET_PACKAGES := ./platform/waxsoak ./waxload/waxbound ./waxload/waxcheck ./waxload/waxcontrol ./waxload/waxembed \
 	./waxload/waxexperiment ./waxload/waxlatency ./waxrouter
 LIGHT_PACKAGES = $(filter-out $(FLEET_PACKAGES:./%=waxwingdrift.org/%),$(shell go list $(PACKAGES)))
 
-.PHONY: known-red build test race fuzz lint format format-check generate tools tidy run fleet platform bench clean
+.PHONY: known-red build test race fuzz soak lint format format-check generate tools tidy run fleet platform bench clean
 
 build:
 	@mkdir -p bin
@@ -68,9 +68,18 @@
 
 # Each fuzz test for a while with fresh inputs; CI runs the committed ones.
 FUZZ_TIME := 20s
+FUZZ_MINIMIZE := 1s
 fuzz:
-	@for f in FuzzHeaders FuzzObjects FuzzSettings; do go test -run '^$$' -fuzz "^$$f$$" -fuzztime $(FUZZ_TIME) ./platform || exit 1; done
-	go test -run '^$$' -fuzz '^FuzzAnswers$$' -fuzztime $(FUZZ_TIME) ./waxfleet/waxpool
+	@for f in platform:FuzzHeaders platform:FuzzObjects platform:FuzzSettings waxfleet/waxpool:FuzzAnswers waxfleet/waxforward:FuzzEvents; do \
+		go test -run '^$$' -fuzz "^$${f#*:}$$" -fuzztime $(FUZZ_TIME) -fuzzminimizetime $(FUZZ_MINIMIZE) "./$${f%:*}" || exit 1; done
+
+# The soak with more seeds than CI plays; SEEDS=50 takes about three minutes. FIRST=0
+# takes the first seed from the clock. Logs stay in out/soak.
+SEEDS := 50
+FIRST := 0
+soak:
+	@mkdir -p out/soak
+	WAXSOAK_LOGS=$(CURDIR)/out/soak go test ./platform/waxsoak -count=1 -timeout 60m -run '^TestSoak$$' -parallel 5 -soak-seeds $(SEEDS) -soak-first $(FIRST)
 
 bench:
 	go test -run '^$$' -bench . -benchmem $(PACKAGES)
--- a/waxfleet/waxfront/inspect.go
+++ b/waxfleet/waxfront/inspect.go
@@ -40,4 +40,3 @@
 	}
 	return connect.NewResponse(out), nil
 }
-
