waxpick: leave a failure domain whose servers and instances fall silent

Ruled out: shorter time-outs for requests that may run once (a slow engine would lose them), silence of the instances alone (they may be gone while the servers live).

A line 'failure domain reachable' tells of it.

--- a/waxfleet/waxforward/forwarder.go
+++ b/waxfleet/waxforward/forwarder.go
@@ -50,6 +50,8 @@
 	Loads     *waxpeer.Loads
 	Holders   *waxcache.Holders
 	Suspects  *waxsuspect.Register
+	// Silent reports whether all instances of a failure domain have fallen silent.
+	Silent func(domain string) bool
 	// Flush is called when other instances should learn of new holdings.
 	Flush   func()
 	Proof   *waxfresh.Proof
--- a/waxfleet/waxforward/pass.go
+++ b/waxfleet/waxforward/pass.go
@@ -137,6 +137,7 @@
 		if id >= 0 {
 			c.sink.lastEvent = id
 		}
+		f.servers.sign(c.entry)
 		if timer != nil {
 			timer.Reset(pause.Duration())
 		}
--- a/waxfleet/waxforward/place.go
+++ b/waxfleet/waxforward/place.go
@@ -34,10 +34,12 @@
 	held := f.opts.Holders.Held(c.key)
 	known, cold := make(map[string]*server, len(listed)), map[string]bool{}
 	candidates := make([]waxpick.Candidate, 0, len(listed))
+	cutOff := map[string]bool{}
 	for _, d := range listed {
 		v := f.servers.get(d.Entry(), connections)
 		known[d.ID()] = v
 		one := f.candidate(d, v, whole, contract, instances, now)
+		one.Doubtful = one.Doubtful || f.cutOff(one.FailureDomain, cutOff, now)
 		others := counts[waxpeer.ServerHash(d.ID())]
 		one.Load = v.inFlight + others.InFlight
 		one.Pending = v.pending + others.Pending
@@ -62,6 +64,7 @@
 		v.cold.Take(now, rate, burst)
 	}
 	v.inFlight++
+	f.servers.domain(v.entry.Server().FailureDomain()).Sent(now)
 	c.entry = v.entry
 	c.source = f.source(v, held)
 	c.pending = max(0, c.in.PromptTokens-held[v.hash])
@@ -108,6 +111,27 @@
 	return c
 }
 
+// cutOff reports whether another failure domain can't be reached; seen holds what is
+// known so far. The caller holds the lock.
+func (f *Forwarder) cutOff(domain string, seen map[string]bool, now waxfleet.Millis) bool {
+	if domain == f.opts.FailureDomain {
+		return false
+	}
+	suspect, ok := seen[domain]
+	if ok {
+		return suspect
+	}
+	silent := f.opts.Silent(domain)
+	suspect = f.servers.domain(domain).Suspect(now, silent)
+	seen[domain] = suspect
+	if f.servers.cut[domain] != suspect {
+		f.servers.cut[domain] = suspect
+		f.opts.Log.Warn("failure domain reachable", "failure-domain", domain, "reachable", !suspect, "instances-silent", silent,
+			"quiet-ms", int64(now-f.servers.domain(domain).LastSign()))
+	}
+	return suspect
+}
+
 // coldShare returns this instance's part of what a cold server bears.
 func (f *Forwarder) coldShare(contract waxfleet.ServiceContract, id string, instances []string) (float64, int) {
 	b := f.opts.Bounds()
--- a/waxfleet/waxforward/run.go
+++ b/waxfleet/waxforward/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
@@ -56,7 +57,7 @@
 		res, err := f.send(spanCtx, c, v)
 		span.SetAttributes(attribute.String("result", res.String()))
 		span.End()
-		f.servers.end(v, c.service, healthOf(res, err))
+		f.servers.end(v, c.service, healthOf(res, err), ctx.Err() == nil && timedOut(err))
 		if res == resultDone {
 			f.opts.Suspects.Clear(c.digest)
 			f.completed.note(c.digest)
@@ -99,6 +100,13 @@
 	return outcomeNeutral
 }
 
+// timedOut reports whether a server did not answer, or could not be reached, in
+// time. One that refuses or resets connections is reached.
+func timedOut(err error) bool {
+	var timeout net.Error
+	return errors.Is(err, errSilent) || errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // noServer is the refusal when no server may get the request.
 func (f *Forwarder) noServer(c *call, reason string, last error) error {
 	e := waxfleet.NewError(waxfleet.CodeNoBackendServer, "no backend server of %s may get the request: %s", c.service, reason)
--- a/waxfleet/waxforward/send.go
+++ b/waxfleet/waxforward/send.go
@@ -61,6 +61,7 @@
 		timer.Stop()
 	}
 	begin()
+	f.servers.sign(c.entry)
 	if answer.Head.NotRun || answer.Head.WrongServer {
 		c.runs--
 		f.drop(conn, answer)
--- a/waxfleet/waxforward/server.go
+++ b/waxfleet/waxforward/server.go
@@ -42,11 +42,14 @@
 	mu       sync.Mutex
 	servers  map[string]*server
 	services map[string]*service
+	domains  map[string]*waxpick.DomainHealth
+	// cut holds what was last logged of each failure domain.
+	cut map[string]bool
 }
 
 // NewServers returns an empty state.
 func NewServers(clock *waxfleet.Clock, protocol waxfleet.Protocol) *Servers {
-	return &Servers{clock: clock, protocol: protocol, servers: map[string]*server{}, services: map[string]*service{}}
+	return &Servers{clock: clock, protocol: protocol, servers: map[string]*server{}, services: map[string]*service{}, domains: map[string]*waxpick.DomainHealth{}, cut: map[string]bool{}}
 }
 
 // Counts returns the own counts by the hash of the backend server's name.
@@ -115,6 +118,23 @@
 	return v
 }
 
+// domain returns the state of a failure domain. The caller holds the lock.
+func (s *Servers) domain(name string) *waxpick.DomainHealth {
+	d := s.domains[name]
+	if d == nil {
+		d = &waxpick.DomainHealth{}
+		s.domains[name] = d
+	}
+	return d
+}
+
+// sign notes that bytes came from a server.
+func (s *Servers) sign(e waxfleet.EngineEntry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.domain(e.Server().FailureDomain()).Sign(s.clock.Now())
+}
+
 // answered notes that the answer to a prompt of so many tokens has begun, or that
 // none will come.
 func (s *Servers) answered(v *server, tokens int) {
@@ -137,15 +157,19 @@
 	outcomeNeutral
 )
 
-// end counts the end of a request at a server.
-func (s *Servers) end(v *server, serviceName string, o outcome) {
+// end counts the end of a request at a server. silent tells that the server did not
+// answer in time.
+func (s *Servers) end(v *server, serviceName string, o outcome, silent bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v.inFlight--
+	now := s.clock.Now()
+	if silent {
+		s.domain(v.entry.Server().FailureDomain()).TimedOut(now, v.entry.Server().ID())
+	}
 	if o == outcomeNeutral {
 		return
 	}
-	now := s.clock.Now()
 	if o == outcomeUnreachable {
 		v.health.Unreachable(now)
 	}
--- a/waxfleet/waxfront/front.go
+++ b/waxfleet/waxfront/front.go
@@ -111,7 +111,7 @@
 	}
 	f.forwarder = waxforward.New(waxforward.Options{
 		Instance: s.Instance, FailureDomain: s.FailureDomain, Clock: opts.Clock, Log: opts.Log, Tracer: tracers.Tracer("waxforward"), Protocol: opts.Protocol,
-		Directory: f.directory, Loads: f.loads, Holders: f.holders, Suspects: f.suspects, Flush: func() { f.exchanger.Flush() }, Proof: f.proof, Servers: f.servers, Table: f.table.Load,
+		Directory: f.directory, Loads: f.loads, Holders: f.holders, Suspects: f.suspects, Silent: func(domain string) bool { return f.exchanger.DomainSilent(domain) }, Flush: func() { f.exchanger.Flush() }, Proof: f.proof, Servers: f.servers, Table: f.table.Load,
 		Bounds: f.forwardBounds, Instances: f.Instances, Stopping: f.isStopping, Observe: f.metrics.observe,
 	})
 	f.copies = newCopies(opts.Clock, s.Instance)
--- a/waxfleet/waxpeer/exchanger.go
+++ b/waxfleet/waxpeer/exchanger.go
@@ -224,6 +224,30 @@
 	return min(silence, followDatagrams*gap)
 }
 
+// remoteSilence is the time without sums from another failure domain after which its
+// instances count as silent, in ms: three turns of its gateways.
+const remoteSilence = 3 * remoteInterval
+
+// DomainSilent reports whether there are instances in a failure domain and none of
+// them was heard lately.
+func (e *Exchanger) DomainSilent(domain string) bool {
+	t := e.Topology()
+	if !t.Whole {
+		return e.loads.sumsOlder(domain, remoteSilence)
+	}
+	within, known := e.FollowSilence(), false
+	for _, p := range t.Group {
+		if p.FailureDomain != domain {
+			continue
+		}
+		if e.loads.heard(p.Name, within) {
+			return false
+		}
+		known = true
+	}
+	return known
+}
+
 // broadcastRemote sends the sums of the own failure domain to the others, if the
 // instance is a gateway.
 func (e *Exchanger) broadcastRemote(ctx context.Context) {
--- a/waxfleet/waxpeer/loads.go
+++ b/waxfleet/waxpeer/loads.go
@@ -208,11 +208,23 @@
 }
 
 // Alive reports whether the instance with the name was heard lately.
-func (l *Loads) Alive(name string) bool {
+func (l *Loads) Alive(name string) bool { return l.heard(name, silence) }
+
+// heard reports whether the instance with the name was heard within the given time.
+func (l *Loads) heard(name string, within waxfleet.Millis) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r, ok := l.reports[HashOf(name)]
-	return ok && l.clock.Now()-r.at < silence
+	return ok && l.clock.Now()-r.at < within
+}
+
+// sumsOlder reports whether the sums of a failure domain were once heard, and not
+// within the given time.
+func (l *Loads) sumsOlder(domain string, than waxfleet.Millis) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c, ok := l.domains[HashOf(domain)]
+	return ok && l.clock.Now()-c.at >= than
 }
 
 // Answered reports whether the instance with the name was heard within the given
