all: call one piece of code where the change had two

Found on reading the whole change once more; behaviour stays as it is.

- waxctl inspect asked instances with a loop of its own beside askRouters; both call askAll. instances, servers and explain share listInstances. trace sorts its lines once.
- waxplace.CompareHashed is the order of names by hash that waxreplica and, twice, waxpeer wrote out.
- Each request asked whether the instances of each failure domain are silent, and that planned the topology of the whole fleet anew.
The question is now asked only when nothing else speaks for the domain, and needs no plan; a look for an instance to follow plans once instead of once a peer.
- waxdirectory: one look-up of an incarnation, one test of what takes work, one view of a server. waxpeer: one look-up of a recent report. waxforward: a failure domain's health and what was logged of it stand in one type. waxfresh: one lock.
- Dead since the stop no longer told its remaining time: that time is a flag now. waxpool noted for nobody whether bytes had left.

TestDomainHealth gives the silence as a function; its assertions are the same.

--- a/waxctl/explain.go
+++ b/waxctl/explain.go
@@ -31,11 +31,7 @@
 		RunE: func(cmd *cobra.Command, args []string) error {
 			ctx, cancel := a.limit(cmd.Context())
 			defer cancel()
-			p, err := a.platform()
-			if err != nil {
-				return err
-			}
-			routers, _, err := p.ListInstances(ctx)
+			routers, _, err := a.listInstances(ctx)
 			if err != nil {
 				return err
 			}
--- a/waxctl/fleet.go
+++ b/waxctl/fleet.go
@@ -24,10 +24,20 @@
 // askRouters asks all routers of the instance list and returns their answers by
 // router id. It notes those that do not answer.
 //
-// Errors: CodePeerUnreachable when no router answers; those of ListInstances.
+// Errors: CodePeerUnreachable when no router answers.
 func askRouters[T any](ctx context.Context, a *app, routers []waxfleet.Instance, ask func(context.Context, waxwireconnect.PeerClient) (T, error)) ([]routerAnswer[T], error) {
 	client := newPeerHTTPClient()
 	defer client.CloseIdleConnections()
+	return askAll(ctx, a, "router", routers, func(ctx context.Context, url string) (T, error) {
+		return ask(ctx, waxwireconnect.NewPeerClient(client, url))
+	})
+}
+
+// askAll asks all routers at their URLs, a bounded number at a time. kind names them
+// in notes and errors.
+//
+// Errors: CodePeerUnreachable when there are routers and none answers.
+func askAll[T any](ctx context.Context, a *app, kind string, routers []waxfleet.Instance, ask func(ctx context.Context, url string) (T, error)) ([]routerAnswer[T], error) {
 	answers := make([]routerAnswer[T], len(routers))
 	slots := make(chan struct{}, maxParallelAsks)
 	var wg sync.WaitGroup
@@ -35,7 +45,7 @@
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			value, err := ask(ctx, waxwireconnect.NewPeerClient(client, "http://"+r.PeerAddress()))
+			value, err := ask(ctx, "http://"+r.PeerAddress())
 			answers[i] = routerAnswer[T]{router: r, value: value, err: err}
 		})
 	}
@@ -45,15 +55,24 @@
 	for _, answer := range answers {
 		if answer.err != nil {
 			silent++
-			a.note("router %s at %s does not answer: %v", answer.router.ID(), answer.router.PeerAddress(), answer.err)
+			a.note("%s %s at %s does not answer: %v", kind, answer.router.ID(), answer.router.PeerAddress(), answer.err)
 		}
 	}
 	if silent == len(answers) && silent > 0 {
-		return answers, waxfleet.NewError(waxfleet.CodePeerUnreachable, "none of %d routers answers", silent)
+		return answers, waxfleet.NewError(waxfleet.CodePeerUnreachable, "none of %d %ss answers", silent, kind)
 	}
 	return answers, nil
 }
 
+// listInstances returns the routers and backend servers of the instance list.
+func (a *app) listInstances(ctx context.Context) ([]waxfleet.Instance, []waxfleet.BackendServer, error) {
+	p, err := a.platform()
+	if err != nil {
+		return nil, nil, err
+	}
+	return p.ListInstances(ctx)
+}
+
 // newPeerHTTPClient speaks HTTP/2 without TLS, as routers do between each other.
 func newPeerHTTPClient() *http.Client {
 	protocols := new(http.Protocols)
--- a/waxctl/inspect.go
+++ b/waxctl/inspect.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"slices"
 	"strings"
-	"sync"
 
 	"connectrpc.com/connect"
 	"github.com/spf13/cobra"
@@ -23,13 +22,8 @@
 // flagStore names the store that instances on the users' platform register in.
 const flagStore = "store"
 
-// inspectedInstance is an instance of the registry with its answer.
-type inspectedInstance struct {
-	name    string
-	address string
-	state   *waxwire.StateReply
-	err     error
-}
+// inspected is an instance of the registry with its answer.
+type inspected = routerAnswer[*waxwire.StateReply]
 
 type inspectedRow struct {
 	Instance      string   `json:"instance"`
@@ -98,8 +92,8 @@
 // inspect reads the registry of instances and asks each for its state.
 //
 // Errors: CodeSettingInvalid without a store; CodePeerUnreachable when no instance
-// answers; those of the store.
-func (a *app) inspect(ctx context.Context) ([]inspectedInstance, error) {
+// is known or none answers; those of the store.
+func (a *app) inspect(ctx context.Context) ([]inspected, error) {
 	store := a.settings.GetString(flagStore)
 	if store == "" {
 		return nil, waxfleet.NewError(waxfleet.CodeSettingInvalid, "--%s: no value; allowed: the ip:port of the platform's metadata store", flagStore)
@@ -110,50 +104,32 @@
 	if err != nil {
 		return nil, err
 	}
-	found := make([]inspectedInstance, 0, len(listed.Records))
+	var instances []waxfleet.Instance
 	for _, r := range listed.Records {
 		if !r.Readable {
 			a.note("the entry of instance %s can't be read: %s", r.Name, r.Problem)
 			continue
 		}
-		found = append(found, inspectedInstance{name: r.Name, address: r.Value.Address})
+		instances = append(instances, waxfleet.NewInstance(r.Name, r.Value.FailureDomain, r.Value.Address, waxfleet.StateLive))
 	}
-	slots := make(chan struct{}, maxParallelAsks)
-	var wg sync.WaitGroup
-	for i := range found {
-		slots <- struct{}{}
-		wg.Go(func() {
-			defer func() { <-slots }()
-			resp, err := waxwireconnect.NewInspectionClient(http.DefaultClient, "http://"+found[i].address).State(ctx, connect.NewRequest(&waxwire.StateRequest{}))
-			if err != nil {
-				found[i].err = err
-				return
-			}
-			found[i].state = resp.Msg
-		})
+	if len(instances) == 0 {
+		return nil, waxfleet.NewError(waxfleet.CodePeerUnreachable, "none of 0 instances answers")
 	}
-	wg.Wait()
-	slices.SortFunc(found, func(x, y inspectedInstance) int { return cmp.Compare(x.name, y.name) })
-	answers := 0
-	for _, n := range found {
-		if n.err != nil {
-			a.note("instance %s at %s does not answer: %v", n.name, n.address, n.err)
-			continue
+	return askAll(ctx, a, "instance", instances, func(ctx context.Context, url string) (*waxwire.StateReply, error) {
+		resp, err := waxwireconnect.NewInspectionClient(http.DefaultClient, url).State(ctx, connect.NewRequest(&waxwire.StateRequest{}))
+		if err != nil {
+			return nil, err
 		}
-		answers++
-	}
-	if answers == 0 {
-		return nil, waxfleet.NewError(waxfleet.CodePeerUnreachable, "none of %d instances answers", len(found))
-	}
-	return found, nil
+		return resp.Msg, nil
+	})
 }
 
-func inspectedRows(found []inspectedInstance) []inspectedRow {
+func inspectedRows(found []inspected) []inspectedRow {
 	rows := make([]inspectedRow, 0, len(found))
 	for _, n := range found {
-		s := n.state
+		s := n.value
 		r := inspectedRow{
-			Instance: n.name, FailureDomain: s.GetFailureDomain(), Address: n.address, Answers: n.err == nil, Ready: s.GetReady(),
+			Instance: n.router.ID(), FailureDomain: s.GetFailureDomain(), Address: n.router.PeerAddress(), Answers: n.err == nil, Ready: s.GetReady(),
 			Reason: s.GetReason(), ConfigVersion: s.GetConfigVersion(), ProofAgeMs: s.GetProofAgeMs(), Evacuated: s.GetEvacuated(),
 		}
 		if r.Answers {
@@ -174,10 +150,10 @@
 
 // engineRows joins the views of all instances. The first one that answers gives the
 // state, the sum of the own counts the load.
-func engineRows(found []inspectedInstance) []engineRow {
+func engineRows(found []inspected) []engineRow {
 	byID := map[string]*engineRow{}
 	for _, n := range found {
-		for _, v := range n.state.GetServers() {
+		for _, v := range n.value.GetServers() {
 			flags := engineFlags(v)
 			r := byID[v.GetId()]
 			if r == nil {
@@ -189,7 +165,7 @@
 			}
 			r.InFlight += v.GetInFlight()
 			if r.State != v.GetState() || r.Address != v.GetAddress() || !slices.Equal(r.Flags, flags) {
-				r.Disagree = append(r.Disagree, n.name)
+				r.Disagree = append(r.Disagree, n.router.ID())
 			}
 		}
 	}
--- a/waxctl/instances.go
+++ b/waxctl/instances.go
@@ -33,11 +33,7 @@
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			ctx, cancel := a.limit(cmd.Context())
 			defer cancel()
-			p, err := a.platform()
-			if err != nil {
-				return err
-			}
-			routers, _, err := p.ListInstances(ctx)
+			routers, _, err := a.listInstances(ctx)
 			if err != nil {
 				return err
 			}
--- a/waxctl/servers.go
+++ b/waxctl/servers.go
@@ -38,11 +38,7 @@
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			ctx, cancel := a.limit(cmd.Context())
 			defer cancel()
-			p, err := a.platform()
-			if err != nil {
-				return err
-			}
-			routers, servers, err := p.ListInstances(ctx)
+			routers, servers, err := a.listInstances(ctx)
 			if err != nil {
 				return err
 			}
--- a/waxctl/trace.go
+++ b/waxctl/trace.go
@@ -50,10 +50,13 @@
 
 // traceLogs collects the lines about a request from files, or from in.
 func traceLogs(in io.Reader, id string, files []string) ([]traceRow, error) {
+	var rows []traceRow
 	if len(files) == 0 {
-		return traceLog(in, id)
+		var err error
+		if rows, err = traceLog(in, id); err != nil {
+			return nil, err
+		}
 	}
-	var rows []traceRow
 	for _, name := range files {
 		f, err := os.Open(name)
 		if err != nil {
@@ -89,7 +92,6 @@
 	if err := scanner.Err(); err != nil {
 		return nil, waxfleet.WrapError(err, waxfleet.CodeObjectUnreadable, "the log can't be read")
 	}
-	slices.SortStableFunc(rows, func(x, y traceRow) int { return x.At.Compare(y.At) })
 	return rows, nil
 }
 
--- a/waxfleet/waxdirectory/directory.go
+++ b/waxfleet/waxdirectory/directory.go
@@ -232,17 +232,35 @@
 	defer d.mu.Unlock()
 	out := make([]Server, 0, len(d.servers))
 	for _, s := range d.servers {
-		server := s.entry.Server()
-		if server.Service() != service || server.State() != waxfleet.StateLive || d.evacuated[server.FailureDomain()] {
-			continue
+		if s.entry.Server().Service() == service && d.takesWork(s) {
+			out = append(out, d.view(s))
 		}
-		c := *s
-		c.coldUntil = max(c.coldUntil, d.coldUntil[server.FailureDomain()])
-		out = append(out, c)
 	}
 	return out
 }
 
+// takesWork reports whether a server may get new work. The caller holds the lock.
+func (d *Directory) takesWork(s *Server) bool {
+	server := s.entry.Server()
+	return server.State() == waxfleet.StateLive && !d.evacuated[server.FailureDomain()]
+}
+
+// view returns a server as it counts now, in a failure domain that may have been
+// taken back. The caller holds the lock.
+func (d *Directory) view(s *Server) Server {
+	c := *s
+	c.coldUntil = max(c.coldUntil, d.coldUntil[s.entry.Server().FailureDomain()])
+	return c
+}
+
+// find returns an incarnation, or nil. The caller holds the lock.
+func (d *Directory) find(id string, born int64) *Server {
+	if s := d.servers[id]; s != nil && s.entry.Born() == born {
+		return s
+	}
+	return nil
+}
+
 // All returns all known servers and the failure domains that get no new work, both
 // in the order of their names.
 func (d *Directory) All() ([]Server, []string) {
@@ -250,9 +268,7 @@
 	defer d.mu.Unlock()
 	var servers []Server
 	for _, id := range slices.Sorted(maps.Keys(d.servers)) {
-		c := *d.servers[id]
-		c.coldUntil = max(c.coldUntil, d.coldUntil[c.entry.Server().FailureDomain()])
-		servers = append(servers, c)
+		servers = append(servers, d.view(d.servers[id]))
 	}
 	return servers, slices.Sorted(maps.Keys(d.evacuated))
 }
@@ -262,9 +278,8 @@
 func (d *Directory) Usable(id string, born int64) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	s := d.servers[id]
-	return s != nil && s.entry.Born() == born && s.entry.Server().State() == waxfleet.StateLive &&
-		!d.evacuated[s.entry.Server().FailureDomain()]
+	s := d.find(id, born)
+	return s != nil && d.takesWork(s)
 }
 
 // Count returns the number of known servers.
@@ -278,8 +293,7 @@
 func (d *Directory) Known(id string, born int64) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	s := d.servers[id]
-	return s != nil && s.entry.Born() == born
+	return d.find(id, born) != nil
 }
 
 // InService reports whether the incarnation is in the directory and its failure
@@ -287,6 +301,6 @@
 func (d *Directory) InService(id string, born int64) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	s := d.servers[id]
-	return s != nil && s.entry.Born() == born && !s.missing && !d.evacuated[s.entry.Server().FailureDomain()]
+	s := d.find(id, born)
+	return s != nil && !s.missing && !d.evacuated[s.entry.Server().FailureDomain()]
 }
--- a/waxfleet/waxforward/place.go
+++ b/waxfleet/waxforward/place.go
@@ -64,7 +64,7 @@
 		v.cold.Take(now, rate, burst)
 	}
 	v.inFlight++
-	f.servers.domain(v.entry.Server().FailureDomain()).Sent(now)
+	f.servers.domain(v.entry.Server().FailureDomain()).health.Sent(now)
 	c.entry = v.entry
 	c.source = f.source(v, held)
 	c.pending = max(0, c.in.PromptTokens-held[v.hash])
@@ -113,21 +113,21 @@
 
 // cutOff reports whether another failure domain can't be reached; seen holds what is
 // known so far. The caller holds the lock.
-func (f *Forwarder) cutOff(domain string, seen map[string]bool, now waxfleet.Millis) bool {
-	if domain == f.opts.FailureDomain {
+func (f *Forwarder) cutOff(name string, seen map[string]bool, now waxfleet.Millis) bool {
+	if name == f.opts.FailureDomain {
 		return false
 	}
-	suspect, ok := seen[domain]
+	suspect, ok := seen[name]
 	if ok {
 		return suspect
 	}
-	silent := f.opts.Silent(domain)
-	suspect = f.servers.domain(domain).Suspect(now, silent)
-	seen[domain] = suspect
-	if f.servers.cut[domain] != suspect {
-		f.servers.cut[domain] = suspect
-		f.opts.Log.Warn("failure domain reachable", "failure-domain", domain, "reachable", !suspect, "instances-silent", silent,
-			"quiet-ms", int64(now-f.servers.domain(domain).LastSign()))
+	d, silent := f.servers.domain(name), func() bool { return f.opts.Silent(name) }
+	suspect = d.health.Suspect(now, silent)
+	seen[name] = suspect
+	if d.cutOff != suspect {
+		d.cutOff = suspect
+		f.opts.Log.Warn("failure domain reachable", "failure-domain", name, "reachable", !suspect, "instances-silent", silent(),
+			"quiet-ms", int64(now-d.health.LastSign()))
 	}
 	return suspect
 }
--- a/waxfleet/waxforward/server.go
+++ b/waxfleet/waxforward/server.go
@@ -33,6 +33,13 @@
 	retries waxquota.RetryBudget
 }
 
+// domain is what this instance knows of a failure domain as a whole.
+type domain struct {
+	health waxpick.DomainHealth
+	// cutOff is what the log last said of it.
+	cutOff bool
+}
+
 // Servers holds the state of all backend servers at this instance. It is safe
 // for concurrent use.
 type Servers struct {
@@ -42,14 +49,12 @@
 	mu       sync.Mutex
 	servers  map[string]*server
 	services map[string]*service
-	domains  map[string]*waxpick.DomainHealth
-	// cut holds what was last logged of each failure domain.
-	cut map[string]bool
+	domains  map[string]*domain
 }
 
 // NewServers returns an empty state.
 func NewServers(clock *waxfleet.Clock, protocol waxfleet.Protocol) *Servers {
-	return &Servers{clock: clock, protocol: protocol, servers: map[string]*server{}, services: map[string]*service{}, domains: map[string]*waxpick.DomainHealth{}, cut: map[string]bool{}}
+	return &Servers{clock: clock, protocol: protocol, servers: map[string]*server{}, services: map[string]*service{}, domains: map[string]*domain{}}
 }
 
 // Counts returns the own counts by the hash of the backend server's name.
@@ -119,10 +124,10 @@
 }
 
 // domain returns the state of a failure domain. The caller holds the lock.
-func (s *Servers) domain(name string) *waxpick.DomainHealth {
+func (s *Servers) domain(name string) *domain {
 	d := s.domains[name]
 	if d == nil {
-		d = &waxpick.DomainHealth{}
+		d = &domain{}
 		s.domains[name] = d
 	}
 	return d
@@ -132,7 +137,7 @@
 func (s *Servers) sign(e waxfleet.EngineEntry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.domain(e.Server().FailureDomain()).Sign(s.clock.Now())
+	s.domain(e.Server().FailureDomain()).health.Sign(s.clock.Now())
 }
 
 // answered notes that the answer to a prompt of so many tokens has begun, or that
@@ -165,7 +170,7 @@
 	v.inFlight--
 	now := s.clock.Now()
 	if silent {
-		s.domain(v.entry.Server().FailureDomain()).TimedOut(now, v.entry.Server().ID())
+		s.domain(v.entry.Server().FailureDomain()).health.TimedOut(now, v.entry.Server().ID())
 	}
 	if o == outcomeNeutral {
 		return
--- a/waxfleet/waxfresh/proof.go
+++ b/waxfleet/waxfresh/proof.go
@@ -56,8 +56,7 @@
 
 // Holds reports whether keys may be accepted now.
 func (p *Proof) Holds() bool {
-	age, known := p.Age()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return known && age < p.bound-Margin
+	return p.known && p.clock.Now()-p.sent < p.bound-Margin
 }
--- a/waxfleet/waxfront/drain.go
+++ b/waxfleet/waxfront/drain.go
@@ -22,8 +22,6 @@
 	drainLook waxfleet.Millis = 50
 )
 
-func (f *Front) isStopping() bool { return f.stopAt.Load() != 0 }
-
 // Drain shuts the instance down: it says that it is not ready, serves until the
 // load balancer has noticed, and lets the work in progress end.
 func (f *Front) Drain(ctx context.Context) error {
@@ -31,7 +29,7 @@
 	started := clock.Now()
 	grace := f.bounds.Load().Grace
 	f.refusals.Store(0)
-	f.stopAt.Store(int64(started + grace - exitMargin))
+	f.stopping.Store(true)
 	f.log.Info("stopping", "active", f.forwarder.Active(), "grace-ms", int64(grace))
 	// Answers now close their connections, and idle ones are closed.
 	f.idle.expire()
--- a/waxfleet/waxfront/follow.go
+++ b/waxfleet/waxfront/follow.go
@@ -6,6 +6,7 @@
 
 	"waxwingdrift.org/waxfleet"
 	"waxwingdrift.org/waxfleet/waxfollow"
+	"waxwingdrift.org/waxfleet/waxpeer"
 	"waxwingdrift.org/waxfleet/waxreplica"
 	"waxwingdrift.org/waxfleet/waxtable"
 )
@@ -177,7 +178,7 @@
 	}
 	opts.Pace, opts.StoreFailed = feedPaces[name], f.copies.selector.StoreFailed
 	opts.Retry = func() (first, longest waxfleet.Millis) {
-		alive, whole := f.group(f.loads.Alive)
+		alive, whole := group(f.exchanger.Topology(), f.loads.Alive)
 		return f.copies.selector.Retry(alive, whole, name == FeedConfig)
 	}
 	lost, regained := opts.Lost, opts.Regained
@@ -214,8 +215,7 @@
 
 // group returns the instances of the own group that pass the test, and whether
 // the group is the whole fleet.
-func (f *Front) group(test func(name string) bool) (names []string, whole bool) {
-	t := f.exchanger.Topology()
+func group(t waxpeer.Topology, test func(name string) bool) (names []string, whole bool) {
 	for _, p := range t.Group {
 		if test(p.Name) {
 			names = append(names, p.Name)
@@ -224,17 +224,14 @@
 	return names, t.Whole
 }
 
-// answered reports whether an instance of the group can be followed.
-func (f *Front) answered(name string) bool {
-	return f.loads.Answered(name, f.exchanger.FollowSilence())
-}
-
 // source returns the instance to follow with its address, or "" for the store.
 // Only instances of the own group are followed.
 func (f *Front) source() (peer, address string) {
-	answered, whole := f.group(f.answered)
+	t := f.exchanger.Topology()
+	within := t.FollowSilence()
+	answered, whole := group(t, func(name string) bool { return f.loads.Answered(name, within) })
 	peer = f.copies.selector.Source(answered, whole)
-	for _, p := range f.exchanger.Topology().Group {
+	for _, p := range t.Group {
 		if p.Name == peer {
 			return peer, p.Address
 		}
@@ -250,7 +247,7 @@
 	silent := ""
 	for f.opts.Clock.Sleep(ctx, behindLook) == nil {
 		now := f.opts.Clock.Now()
-		if peer := f.copies.selector.Followed(); peer == "" || f.answered(peer) {
+		if peer := f.copies.selector.Followed(); peer == "" || f.loads.Answered(peer, f.exchanger.Topology().FollowSilence()) {
 			silent = ""
 		} else if peer != silent {
 			silent = peer
--- a/waxfleet/waxfront/front.go
+++ b/waxfleet/waxfront/front.go
@@ -90,7 +90,7 @@
 	instances []string
 	ready     bool
 
-	stopAt   atomic.Int64
+	stopping atomic.Bool
 	refusals atomic.Int64
 }
 
@@ -112,7 +112,7 @@
 	f.forwarder = waxforward.New(waxforward.Options{
 		Instance: s.Instance, FailureDomain: s.FailureDomain, Clock: opts.Clock, Log: opts.Log, Tracer: tracers.Tracer("waxforward"), Protocol: opts.Protocol,
 		Directory: f.directory, Loads: f.loads, Holders: f.holders, Suspects: f.suspects, Silent: func(domain string) bool { return f.exchanger.DomainSilent(domain) }, Flush: func() { f.exchanger.Flush() }, Proof: f.proof, Servers: f.servers, Table: f.table.Load,
-		Bounds: f.forwardBounds, Instances: f.Instances, Stopping: f.isStopping, Observe: f.metrics.observe,
+		Bounds: f.forwardBounds, Instances: f.Instances, Stopping: f.stopping.Load, Observe: f.metrics.observe,
 	})
 	f.copies = newCopies(opts.Clock, s.Instance)
 	f.exchanger, err = waxpeer.NewExchanger(ctx, f.loads, waxpeer.Options{
@@ -168,7 +168,7 @@
 			context.AfterFunc(ctx, func() { _ = l.server.Close() })
 		}
 		go func() {
-			if err := l.server.Serve(listener); err != nil && ctx.Err() == nil && !f.isStopping() {
+			if err := l.server.Serve(listener); err != nil && ctx.Err() == nil && !f.stopping.Load() {
 				f.log.Error("address closed", "address", l.address, "error", err.Error())
 			}
 		}()
@@ -197,7 +197,7 @@
 // Ready reports whether the instance wants new connections, and why not.
 func (f *Front) Ready() (bool, string) {
 	switch {
-	case f.isStopping():
+	case f.stopping.Load():
 		return false, "stopping"
 	case f.table.Load() == nil:
 		return false, "no configuration"
@@ -312,9 +312,7 @@
 		}
 		next := map[string]bool{}
 		if !b.Full {
-			for domain := range current {
-				next[domain] = true
-			}
+			next = maps.Clone(current)
 		}
 		for _, r := range b.Records {
 			if r.Deleted {
--- a/waxfleet/waxpeer/exchanger.go
+++ b/waxfleet/waxpeer/exchanger.go
@@ -122,11 +122,13 @@
 }
 
 // Topology returns whom the instance tells now.
-func (e *Exchanger) Topology() Topology {
+func (e *Exchanger) Topology() Topology { return Plan(e.opts.Self, e.others(), e.loads.Alive) }
+
+// others returns all other instances.
+func (e *Exchanger) others() []Peer {
 	e.mu.Lock()
-	peers := e.peers
-	e.mu.Unlock()
-	return Plan(e.opts.Self, peers, e.loads.Alive)
+	defer e.mu.Unlock()
+	return e.peers
 }
 
 // Flush asks for a datagram soon, because there are new holdings.
@@ -214,7 +216,7 @@
 
 // FollowSilence is the time without a datagram after which the copy of an instance
 // of the group is no longer followed, in ms.
-func (e *Exchanger) FollowSilence() waxfleet.Millis { return followSilence(len(e.Topology().Group)) }
+func (t Topology) FollowSilence() waxfleet.Millis { return followSilence(len(t.Group)) }
 
 // followSilence is FollowSilence in a group of so many others.
 func followSilence(others int) waxfleet.Millis {
@@ -231,12 +233,12 @@
 // DomainSilent reports whether there are instances in a failure domain and none of
 // them was heard lately.
 func (e *Exchanger) DomainSilent(domain string) bool {
-	t := e.Topology()
-	if !t.Whole {
+	others := e.others()
+	if !isMesh(len(others)) {
 		return e.loads.sumsOlder(domain, remoteSilence)
 	}
-	within, known := e.FollowSilence(), false
-	for _, p := range t.Group {
+	within, known := followSilence(len(others)), false
+	for _, p := range others {
 		if p.FailureDomain != domain {
 			continue
 		}
--- a/waxfleet/waxpeer/loads.go
+++ b/waxfleet/waxpeer/loads.go
@@ -212,10 +212,17 @@
 
 // heard reports whether the instance with the name was heard within the given time.
 func (l *Loads) heard(name string, within waxfleet.Millis) bool {
+	_, ok := l.recent(name, within)
+	return ok
+}
+
+// recent returns the last report of the instance with the name if it came within
+// the given time.
+func (l *Loads) recent(name string, within waxfleet.Millis) (report, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r, ok := l.reports[HashOf(name)]
-	return ok && l.clock.Now()-r.at < within
+	return r, ok && l.clock.Now()-r.at < within
 }
 
 // sumsOlder reports whether the sums of a failure domain were once heard, and not
@@ -230,10 +237,8 @@
 // Answered reports whether the instance with the name was heard within the given
 // time and has answers of the store.
 func (l *Loads) Answered(name string, within waxfleet.Millis) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	r, ok := l.reports[HashOf(name)]
-	return ok && r.storeAnswers && l.clock.Now()-r.at < within
+	r, ok := l.recent(name, within)
+	return ok && r.storeAnswers
 }
 
 // Revisions returns the highest revisions that other instances have seen changes
--- a/waxfleet/waxpeer/topology.go
+++ b/waxfleet/waxpeer/topology.go
@@ -1,8 +1,9 @@
 package waxpeer
 
 import (
-	"cmp"
 	"slices"
+
+	"waxwingdrift.org/waxfleet/waxplace"
 )
 
 const (
@@ -41,7 +42,7 @@
 // Plan returns the topology of an instance. peers holds all others, alive says
 // which of them were heard lately.
 func Plan(self Peer, peers []Peer, alive func(name string) bool) Topology {
-	if len(peers)+1 <= meshSize {
+	if isMesh(len(peers)) {
 		return Topology{Group: peers, Whole: true}
 	}
 	var t Topology
@@ -53,7 +54,7 @@
 			continue
 		}
 		t.Group = append(t.Group, p)
-		if alive(p.Name) && before(p, self) {
+		if alive(p.Name) && order(p, self) < 0 {
 			rivals++
 		}
 	}
@@ -62,15 +63,14 @@
 		return t
 	}
 	for _, members := range remote {
-		slices.SortFunc(members, func(a, b Peer) int {
-			return cmp.Or(cmp.Compare(HashOf(a.Name), HashOf(b.Name)), cmp.Compare(a.Name, b.Name))
-		})
+		slices.SortFunc(members, order)
 		t.Remote = append(t.Remote, members[:min(receivers, len(members))]...)
 	}
 	return t
 }
 
-// before is the order in which instances become gateways.
-func before(a, b Peer) bool {
-	return cmp.Or(cmp.Compare(HashOf(a.Name), HashOf(b.Name)), cmp.Compare(a.Name, b.Name)) < 0
-}
+// order is the one in which instances become gateways and receivers.
+func order(a, b Peer) int { return waxplace.CompareHashed(a.Name, b.Name) }
+
+// isMesh reports whether an instance with so many others tells each of them.
+func isMesh(others int) bool { return others+1 <= meshSize }
--- a/waxfleet/waxpick/domain.go
+++ b/waxfleet/waxpick/domain.go
@@ -64,10 +64,11 @@
 }
 
 // Suspect reports whether the domain can't be reached. instancesSilent tells that
-// no instance there was heard lately.
-func (d *DomainHealth) Suspect(now waxfleet.Millis, instancesSilent bool) bool {
+// no instance there was heard lately; it is asked only when nothing else speaks for
+// the domain.
+func (d *DomainHealth) Suspect(now waxfleet.Millis, instancesSilent func() bool) bool {
 	if now < d.until {
 		return true
 	}
-	return instancesSilent && now-d.sign > quietTime && d.waiting > 0 && now-d.waiting > unansweredTime && now-d.last < tryTime
+	return now-d.sign > quietTime && d.waiting > 0 && now-d.waiting > unansweredTime && now-d.last < tryTime && instancesSilent()
 }
--- a/waxfleet/waxpick/domain_test.go
+++ b/waxfleet/waxpick/domain_test.go
@@ -9,6 +9,10 @@
 	"waxwingdrift.org/waxfleet"
 )
 
+func silent() bool { return true }
+
+func heard() bool { return false }
+
 // TestDomainHealth guards against requests that go on to one server after the other
 // of a failure domain that is cut off, and against one that is left because its
 // instances alone are gone, because one server is, or because nothing was sent.
@@ -18,26 +22,26 @@
 	var d DomainHealth
 	d.Sign(now)
 	now += 2_000
-	is.True(!d.Suspect(now, true)) // nothing was sent since
+	is.True(!d.Suspect(now, silent)) // nothing was sent since
 	d.Sent(now)
-	is.True(!d.Suspect(now+unansweredTime, true))
-	is.True(d.Suspect(now+unansweredTime+1, true))
-	is.True(!d.Suspect(now+unansweredTime+1, false)) // an instance there is heard
-	is.True(!d.Suspect(now+tryTime, true))           // one request may try again
+	is.True(!d.Suspect(now+unansweredTime, silent))
+	is.True(d.Suspect(now+unansweredTime+1, silent))
+	is.True(!d.Suspect(now+unansweredTime+1, heard)) // an instance there is heard
+	is.True(!d.Suspect(now+tryTime, silent))         // one request may try again
 	now += 300
 	d.Sign(now)
-	is.True(!d.Suspect(now, true))
+	is.True(!d.Suspect(now, silent))
 
 	d.TimedOut(now, "e1")
 	d.TimedOut(now, "e1")
-	is.True(!d.Suspect(now, false)) // one server
+	is.True(!d.Suspect(now, heard)) // one server
 	d.TimedOut(now, "e2")
-	is.True(d.Suspect(now, false))
-	is.True(!d.Suspect(now+suspectTime, false)) // tried again
+	is.True(d.Suspect(now, heard))
+	is.True(!d.Suspect(now+suspectTime, heard)) // tried again
 	d.TimedOut(now+suspectTime, "e2")
-	is.True(d.Suspect(now+suspectTime, false))
+	is.True(d.Suspect(now+suspectTime, heard))
 	d.Sign(now + suspectTime)
-	is.True(!d.Suspect(now+suspectTime, false))
+	is.True(!d.Suspect(now+suspectTime, heard))
 }
 
 // TestDomainCutOff replays a cut: forty requests a second, a quarter of them to a
@@ -51,7 +55,7 @@
 	cut := waxfleet.Millis(20_000)
 	lost := 0
 	for now := waxfleet.Millis(15_000); now < cut+5_000; now += 100 {
-		if d.Suspect(now, now >= cut+silentAfter) {
+		if d.Suspect(now, func() bool { return now >= cut+silentAfter }) {
 			continue
 		}
 		d.Sent(now)
--- a/waxfleet/waxplace/rendezvous.go
+++ b/waxfleet/waxplace/rendezvous.go
@@ -4,6 +4,7 @@
 package waxplace
 
 import (
+	"cmp"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,6 +19,12 @@
 	return x ^ (x >> 31)
 }
 
+// CompareHashed orders names by their hash, equal hashes by name, so that all
+// instances agree on an order that says nothing of the names.
+func CompareHashed(a, b string) int {
+	return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+}
+
 // Rank returns ids in rendezvous order for the key, highest weight first. Equal
 // weights are ordered by id, so that all instances agree.
 func Rank(key string, ids []string) []string {
--- a/waxfleet/waxpool/conn.go
+++ b/waxfleet/waxpool/conn.go
@@ -1,6 +1,6 @@
 // Package waxpool keeps HTTP/1.1 connections to backend servers. A connection
-// carries one request at a time, and its state tells at each moment whether a
-// byte of the request may have left.
+// carries one request at a time. Nothing of it has left before RoundTrip; after an
+// error of RoundTrip it may have run.
 package waxpool
 
 import (
@@ -41,7 +41,7 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Chunked sends no length. It is set when the caller's body had none.
+	// HasBody says that the request has a body, which may be empty.
 	HasBody bool
 }
 
@@ -55,26 +55,12 @@
 	uses     int
 
 	mu     sync.Mutex
-	sent   bool
 	broken bool
 }
 
 // Reused reports whether the connection has carried a request before.
 func (c *Conn) Reused() bool { return c.uses > 1 }
 
-// Sent reports whether a byte of the current request may have left.
-func (c *Conn) Sent() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.sent
-}
-
-func (c *Conn) setSent() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.sent = true
-}
-
 // Answer is the head of an answer and its body.
 type Answer struct {
 	Status int
@@ -93,11 +79,7 @@
 // from another goroutine. After an error the connection must be discarded.
 func (c *Conn) RoundTrip(r Request) (*Answer, error) {
 	c.uses++
-	c.mu.Lock()
-	c.sent = false
-	c.mu.Unlock()
 	head := requestHead(r)
-	c.setSent()
 	written := make(chan error, 1)
 	switch {
 	case len(r.Body) == 0:
--- a/waxfleet/waxreplica/replica_test.go
+++ b/waxfleet/waxreplica/replica_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxplace"
 )
 
 // textFeed decodes texts and has no store.
@@ -284,7 +285,7 @@
 			clock := waxfleet.NewManualClock(10_000)
 			g := newGroup(clock, 14)
 			g.run(2_000)
-			order := slices.SortedFunc(slices.Values(g.names), rank)
+			order := slices.SortedFunc(slices.Values(g.names), waxplace.CompareHashed)
 			for _, name := range order[:turned] {
 				g.turned[name] = true
 			}
--- a/waxfleet/waxreplica/selector.go
+++ b/waxfleet/waxreplica/selector.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxplace"
 )
 
 const (
@@ -38,14 +39,6 @@
 	otherLongest   waxfleet.Millis = 4_000
 )
 
-// rank orders the instances of a group; the first ones watch the store.
-func rank(a, b string) int {
-	if c := cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)); c != 0 {
-		return c
-	}
-	return cmp.Compare(a, b)
-}
-
 // watchers returns how many instances of a group watch the store. whole tells
 // that the group is the whole fleet and not one failure domain of it.
 func watchers(whole bool) int {
@@ -56,9 +49,9 @@
 }
 
 // Watchers returns the instances of a group that watch the store, out of those
-// that live. All instances that see the same ones alive agree.
+// that live: the first ones by the hash of their names. All instances that see the same ones alive agree.
 func Watchers(alive []string, whole bool) []string {
-	order := slices.SortedFunc(slices.Values(alive), rank)
+	order := slices.SortedFunc(slices.Values(alive), waxplace.CompareHashed)
 	return order[:min(watchers(whole), len(order))]
 }
 
@@ -103,7 +96,7 @@
 	}
 	// The first usable ones of the group watch the store. When the store or a
 	// watcher fails, this moves on by one instance at a time, and not by the group.
-	usable := slices.SortedFunc(slices.Values(append(slices.Clone(answered), s.instance)), rank)
+	usable := slices.SortedFunc(slices.Values(append(slices.Clone(answered), s.instance)), waxplace.CompareHashed)
 	usable = slices.DeleteFunc(usable, func(name string) bool {
 		if name == s.instance {
 			return now < s.storeUntil
@@ -130,7 +123,7 @@
 func (s *Selector) Serves() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.followed == "" || rank(s.followed, s.instance) < 0
+	return s.followed == "" || waxplace.CompareHashed(s.followed, s.instance) < 0
 }
 
 // Failed notes that the copy of an instance can't be followed. The next usable
