waxowner: hold the server count while servers change owners

Cause: the load limit is a multiple of the mean load. When an assignment moves servers to another owner, the former owner still reports the requests in flight there, and the servers are counted by nobody until the new owner has its first load report. The mean rises by their share, and so does the limit of servers whose owner stays: 9 requests at a floor of 8 in TestFrozenOwner.

Ruled out: both owners admitting at once (the server's owner does not change), late counts (30 callers at 6 servers give a mean of 5).

Change: a drop in the number of counted servers takes effect after 3 s, unless the servers are no longer listed. TestLimitDuringHandover fails before (limit 19 instead of 9).

--- a/waxfleet/waxowner/owner.go
+++ b/waxfleet/waxowner/owner.go
@@ -80,6 +80,10 @@
 	refreshing bool
 	lastTickAt waxfleet.Millis
 	stopping   bool
+	// serverCounts holds the numbers of servers in the mean load, and listedCounts the
+	// numbers of listed servers in failure domains in service, by service.
+	serverCounts map[string]*waxplace.ServerCount
+	listedCounts map[string]int
 }
 
 // New returns an owner and starts polling load reports and processing the queues,
@@ -88,6 +92,7 @@
 	o := &Owner{
 		Dependencies: deps, exceptions: waxplace.NewExceptions(deps.MaxExceptions),
 		admissions: map[string]*admission{}, lastTickAt: deps.Clock.Now(),
+		serverCounts: map[string]*waxplace.ServerCount{}, listedCounts: map[string]int{},
 	}
 	go func() {
 		for o.Clock.Sleep(ctx, tickInterval) == nil {
@@ -189,7 +194,34 @@
 			servers += int(l.GetServers())
 		}
 	}
-	return waxplace.AdmissionLimit(cfg.Limits(), total, servers)
+	return waxplace.AdmissionLimit(cfg.Limits(), total, o.countServers(service, servers))
+}
+
+// countServers returns the number of servers of a service over which the mean load is
+// taken, from the number that instances report now.
+func (o *Owner) countServers(service string, reported int) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	count, ok := o.serverCounts[service]
+	if !ok {
+		count = &waxplace.ServerCount{}
+		o.serverCounts[service] = count
+	}
+	return count.Apply(o.Clock.Now(), reported, o.listedCounts[service])
+}
+
+// updateListedCounts counts the listed servers that can take requests, by service.
+func (o *Owner) updateListedCounts() {
+	cfg := o.Config.Current()
+	counts := map[string]int{}
+	for _, b := range o.Table.Servers() {
+		if b.State() != waxfleet.StateLeaving && cfg.DomainInService(b.FailureDomain()) {
+			counts[b.Service()]++
+		}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.listedCounts = counts
 }
 
 // Loads returns the load of this instance's warm backend servers per service, sorted
@@ -249,6 +281,7 @@
 // only for the backend servers that this instance owns or is the standby for, and
 // for those with requests still in flight: a failure domain has hundreds of others.
 func (o *Owner) tick() {
+	o.updateListedCounts()
 	self := o.Table.Self()
 	wanted := map[string]bool{}
 	for _, b := range o.Table.Servers() {
