waxpool, waxforward: bound what a server may send

Cause: net/http reads the head of a response without a limit. A server that sends bytes without end instead of a head took the reading instance to hundreds of MB within a second. A stalled stream that goes on sending comments reset the timer of the next event, so that it was never resumed elsewhere; an event without end was scanned from its start on each read.

Ruled out: chunk sizes, chunk extensions and trailers (bounded by net/http), bodies without end (bounded buffers), responses of other attempts (1 MiB), the own interface (its transport has a limit).

Only events with a new id count as progress of a stream. Events are limited to 256 KiB and each byte is scanned once.

waxnode: announce a new configuration to peers at once

Change: an instance that installs a configuration exchanges digests at once with up to three peers of its failure domain that lag and, as a gateway, with one of each other domain; a digest that names a newer version starts the fetch.

--- a/waxfleet/waxforward/events.go
+++ b/waxfleet/waxforward/events.go
@@ -9,15 +9,18 @@
 	"waxwingdrift.org/waxfleet"
 )
 
-// maxEventBytes is the maximum length of a stream event.
-const maxEventBytes = 1 << 20
+// maxEventBytes is the maximum length of a stream event. An instance has many streams
+// open at once, each of which may buffer an event without end.
+const maxEventBytes = 256 << 10
 
 // eventReader splits a server-sent event stream into events.
 type eventReader struct {
 	source   io.Reader
 	buf      []byte
 	consumed int
-	err      error
+	// scanned is the number of bytes of buf that are known to contain no end of an event.
+	scanned int
+	err     error
 }
 
 func newEventReader(src io.Reader) *eventReader {
@@ -28,12 +31,13 @@
 // are valid until the next call. At the end of the stream it returns io.EOF.
 func (r *eventReader) next() ([]byte, int64, error) {
 	r.buf = append(r.buf[:0], r.buf[r.consumed:]...)
-	r.consumed = 0
+	r.consumed, r.scanned = 0, 0
 	for {
-		if end := eventLength(r.buf); end > 0 {
-			r.consumed = end
-			return r.buf[:end], eventID(r.buf[:end]), nil
+		if end := eventLength(r.buf[r.scanned:]); end > 0 {
+			r.consumed = r.scanned + end
+			return r.buf[:r.consumed], eventID(r.buf[:r.consumed]), nil
 		}
+		r.scanned = max(0, len(r.buf)-maxSeparatorBytes+1)
 		if r.err != nil {
 			return r.trailing()
 		}
@@ -57,6 +61,9 @@
 	return r.buf, -1, nil
 }
 
+// maxSeparatorBytes is the length of the longest separator of events.
+const maxSeparatorBytes = len("\r\n\r\n")
+
 // eventLength returns the length of the first event including its blank line,
 // or 0 if it is incomplete.
 func eventLength(b []byte) int {
--- a/waxfleet/waxforward/events_test.go
+++ b/waxfleet/waxforward/events_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"waxwingdrift.org/waxfleet"
 )
 
 // collect reads all events of a stream and the error that ended it.
@@ -53,3 +55,25 @@
 		}
 	})
 }
+
+// TestEndlessEvent guards against memory and processor time that grow with an event
+// without end.
+func TestEndlessEvent(t *testing.T) {
+	is := is.New(t)
+	source := &countingReader{}
+	events, _, err := collect(source)
+	is.Equal(len(events), 0)
+	is.Equal(waxfleet.CodeOf(err), waxfleet.CodeAnswerMismatch)
+	is.True(source.n <= 2*maxEventBytes)
+}
+
+// countingReader returns bytes without end and counts them.
+type countingReader struct{ n int }
+
+func (r *countingReader) Read(b []byte) (int, error) {
+	for i := range b {
+		b[i] = 'x'
+	}
+	r.n += len(b)
+	return len(b), nil
+}
--- a/waxfleet/waxforward/relay.go
+++ b/waxfleet/waxforward/relay.go
@@ -17,7 +17,8 @@
 	// then be retried.
 	maxBufferedBytes = 256 << 10
 	// eventGapFactor x the route's objective for the gap between events is the timeout
-	// after which another server resumes a resumable stream.
+	// after which another server resumes a resumable stream. Only complete events with a
+	// new id count: a stalled server may go on sending comments or single bytes.
 	eventGapFactor = 4
 )
 
@@ -109,6 +110,7 @@
 // caller has already received from an earlier server.
 func (f *Forwarder) relayStream(ctx context.Context, cancel context.CancelCauseFunc, req *requestState, resp *waxpool.Response) (result, error) {
 	events := newEventReader(resp.Body)
+	newest := int64(-1)
 	gap := f.eventTimeout(req)
 	var timer *time.Timer
 	if gap > 0 {
@@ -129,6 +131,13 @@
 			}
 			return resultMayHaveRun, waxfleet.WrapError(err, waxfleet.CodeStreamIncomplete, "stream ended early after event %d", req.response.lastEventID)
 		}
+		if id > newest {
+			newest = id
+			f.servers.recordActivity(req.entry)
+			if timer != nil {
+				timer.Reset(gap.Duration())
+			}
+		}
 		if id >= 0 && req.response.lastEventID >= 0 && id != req.response.lastEventID+1 {
 			if id <= req.response.lastEventID {
 				continue
@@ -144,10 +153,6 @@
 		if id >= 0 {
 			req.response.lastEventID = id
 		}
-		f.servers.recordActivity(req.entry)
-		if timer != nil {
-			timer.Reset(gap.Duration())
-		}
 	}
 }
 
--- a/waxfleet/waxmember/bench_test.go
+++ b/waxfleet/waxmember/bench_test.go
@@ -39,6 +39,9 @@
 
 func (l *stubLocal) ConfigVersion() uint64 { return 8300 }
 
+// ConfigVersionSeen implements Local.
+func (l *stubLocal) ConfigVersionSeen(uint64) {}
+
 func (l *stubLocal) PlatformReachable() bool { return true }
 
 func (l *stubLocal) Suspects(bool) []*waxwire.Suspect { return nil }
--- a/waxfleet/waxmember/digest.go
+++ b/waxfleet/waxmember/digest.go
@@ -180,6 +180,7 @@
 	p.lastMessageAt, p.lastDigestAt = now, now
 	p.epoch = max(p.epoch, d.GetEpoch())
 	p.configVersion = d.GetConfigVersion()
+	t.local.ConfigVersionSeen(p.configVersion)
 	p.leaving = d.GetLeaving()
 	p.platformReachable = d.GetPlatformReachable()
 	for _, s := range d.GetBackendServers() {
@@ -243,6 +244,21 @@
 	}
 }
 
+// peersBefore returns the IDs of the live peers that have not reported the configuration
+// version or a later one.
+func (t *Table) peersBefore(version uint64) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	var ids []string
+	for id, p := range t.peers {
+		if p.configVersion < version && now-p.lastMessageAt <= PeerTimeout {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // PeerWithNewerConfig returns a live peer whose configuration version is greater than
 // version, if there is one.
 func (t *Table) PeerWithNewerConfig(version uint64) (waxfleet.Instance, bool) {
--- a/waxfleet/waxmember/exchanger.go
+++ b/waxfleet/waxmember/exchanger.go
@@ -94,6 +94,38 @@
 	}
 }
 
+// AnnounceConfig exchanges digests at once with peers that have not reported the
+// configuration version: with up to domainFanout of this failure domain and, if this
+// instance is a gateway, with one of each other domain. Instances that can't reach the
+// platform thus learn of a change without waiting for a round. It does not block.
+func (e *Exchanger) AnnounceConfig(ctx context.Context, version uint64) {
+	for _, peer := range e.configRecipients(version) {
+		e.startExchange(ctx, peer)
+	}
+}
+
+// configRecipients returns the peers to which a configuration version is announced.
+func (e *Exchanger) configRecipients(version uint64) []waxfleet.Instance {
+	own, recipients := 0, []waxfleet.Instance(nil)
+	seen := map[string]bool{}
+	for _, id := range waxplace.Rank(e.table.Self().ID(), e.table.peersBefore(version)) {
+		peer, ok := e.table.Peer(id)
+		domain := peer.FailureDomain()
+		switch {
+		case !ok:
+		case domain == e.table.Self().FailureDomain():
+			if own < domainFanout {
+				own++
+				recipients = append(recipients, peer)
+			}
+		case !seen[domain] && e.isGateway(domain):
+			seen[domain] = true
+			recipients = append(recipients, peer)
+		}
+	}
+	return recipients
+}
+
 // ExchangeAll exchanges digests with all peers of this failure domain and one peer of
 // each other domain, and returns the number that succeeded. It blocks until all have
 // succeeded, failed or timed out.
--- a/waxfleet/waxmember/table.go
+++ b/waxfleet/waxmember/table.go
@@ -37,6 +37,9 @@
 	// if it is newer.
 	AdoptAssignment(value []byte, version uint64)
 	ConfigVersion() uint64
+	// ConfigVersionSeen is called with the configuration version of each digest that
+	// arrives. It must not block.
+	ConfigVersionSeen(version uint64)
 	// PlatformReachable reports whether the last call to the platform succeeded.
 	PlatformReachable() bool
 	// Suspects returns the suspect records that changed recently, or all of them if
--- a/waxfleet/waxnode/local.go
+++ b/waxfleet/waxnode/local.go
@@ -51,6 +51,17 @@
 // ConfigVersion implements waxmember.Local.
 func (l *localState) ConfigVersion() uint64 { return l.node.ConfigVersion() }
 
+// ConfigVersionSeen implements waxmember.Local.
+func (l *localState) ConfigVersionSeen(version uint64) {
+	if version <= l.node.ConfigVersion() {
+		return
+	}
+	select {
+	case l.node.newerConfig <- struct{}{}:
+	default:
+	}
+}
+
 // PlatformReachable implements waxmember.Local.
 func (l *localState) PlatformReachable() bool { return l.node.keeper.PlatformReachable() }
 
@@ -92,6 +103,37 @@
 
 func (n *Node) configChanged(version uint64) {
 	n.log.Info("configuration in force", "version", version)
+	select {
+	case n.configInstalled <- version:
+	default:
+	}
+}
+
+// announceConfigs announces installed configurations to peers until ctx ends.
+func (n *Node) announceConfigs(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.configInstalled:
+			n.exchanger.AnnounceConfig(ctx, n.ConfigVersion())
+		}
+	}
+}
+
+// awaitNewerConfig returns when a digest names a newer configuration, or after interval.
+// It returns an error if ctx has ended.
+func (n *Node) awaitNewerConfig(ctx context.Context, interval waxfleet.Millis) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	elapsed := make(chan error, 1)
+	go func() { elapsed <- n.clock.Sleep(ctx, interval) }()
+	select {
+	case <-n.newerConfig:
+		return nil
+	case err := <-elapsed:
+		return err
+	}
 }
 
 // fetchNewerConfig fetches the configuration from a peer with a newer version.
--- a/waxfleet/waxnode/node.go
+++ b/waxfleet/waxnode/node.go
@@ -86,6 +86,10 @@
 	draining    atomic.Bool
 	activeCalls atomic.Int64
 	options     []Option
+	// newerConfig signals that a digest named a newer configuration, and configInstalled
+	// that one was installed.
+	newerConfig     chan struct{}
+	configInstalled chan uint64
 
 	listMu sync.Mutex
 	// listRequestedAt is when the current instance list was requested. lastListed holds
@@ -124,6 +128,8 @@
 		byteCounter: &waxmember.ByteCounter{},
 		options:     options,
 		lastListed:  map[string]waxfleet.Millis{},
+
+		newerConfig: make(chan struct{}, 1), configInstalled: make(chan uint64, 1),
 	}
 	if err := n.initComponents(ctx); err != nil {
 		_ = callerListener.Close()
@@ -265,11 +271,12 @@
 		}
 	}()
 	go func() {
-		for n.clock.Sleep(ctx, waxmember.ExchangeInterval) == nil {
+		for n.awaitNewerConfig(ctx, waxmember.ExchangeInterval) == nil {
 			n.fetchNewerConfig(ctx)
 			n.updateGauges()
 		}
 	}()
+	go n.announceConfigs(ctx)
 	go func() {
 		for n.clock.Sleep(ctx, claimDeletionInterval) == nil {
 			n.deleteExpiredClaims(ctx, claims)
--- a/waxfleet/waxowner/bench_test.go
+++ b/waxfleet/waxowner/bench_test.go
@@ -86,6 +86,9 @@
 // AdoptAssignment implements waxmember.Local.
 func (l *localStub) AdoptAssignment([]byte, uint64) {}
 
+// ConfigVersionSeen implements waxmember.Local.
+func (l *localStub) ConfigVersionSeen(uint64) {}
+
 // MergeSuspects implements waxmember.Local.
 func (l *localStub) MergeSuspects([]*waxwire.Suspect) {}
 
--- a/waxfleet/waxpool/conn.go
+++ b/waxfleet/waxpool/conn.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -31,8 +32,36 @@
 	maxMismatchedResponses = 2
 	// maxSkippedBodyBytes is the maximum size of the body of such a response.
 	maxSkippedBodyBytes = 1 << 20
+	// maxHeadBytes is the maximum size of the status line and header of a response, and of
+	// the interim responses before it. net/http sets no limit of its own.
+	maxHeadBytes = 64 << 10
 )
 
+// errHeadTooLarge is the read error of a connection whose response head exceeds
+// maxHeadBytes.
+var errHeadTooLarge = errors.New("response head exceeds 64 KiB")
+
+// headLimiter limits how much is read from a connection while a response head is parsed.
+// A faulty server may send bytes without end instead of a head.
+type headLimiter struct {
+	source io.Reader
+	// remaining is the number of bytes that may still be read, or -1 without a limit.
+	remaining int
+}
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(b []byte) (int, error) {
+	if l.remaining < 0 {
+		return l.source.Read(b)
+	}
+	if l.remaining == 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.source.Read(b[:min(len(b), l.remaining)])
+	l.remaining -= n
+	return n, err
+}
+
 // Request is a request to send on a connection.
 type Request struct {
 	// ID identifies the attempt; responses to other attempts are skipped.
@@ -52,7 +81,9 @@
 	net.Conn
 	protocol waxfleet.Protocol
 	reader   *bufio.Reader
-	pool     *Pool
+	// limiter is the source of reader.
+	limiter *headLimiter
+	pool    *Pool
 	// idleUntil is when the idle connection expires.
 	idleUntil waxfleet.Millis
 	useCount  int
@@ -61,6 +92,14 @@
 	discarded bool
 }
 
+func newConn(conn net.Conn, protocol waxfleet.Protocol, pool *Pool) *Conn {
+	limiter := &headLimiter{source: conn, remaining: -1}
+	return &Conn{
+		Conn: conn, protocol: protocol, pool: pool,
+		limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes),
+	}
+}
+
 // Reused reports whether the connection has carried a request before.
 func (c *Conn) Reused() bool { return c.useCount > 1 }
 
@@ -83,8 +122,8 @@
 // another goroutine aborts it. After an error, the connection must be discarded.
 //
 // Errors: CodeBackendDied when no response can be read, CodeAnswerMismatch when the
-// responses belong to other attempts or name none. In both cases the request may have
-// run.
+// responses belong to other attempts, name none or have a head above maxHeadBytes. In all
+// cases the request may have run.
 func (c *Conn) RoundTrip(r Request) (*Response, error) {
 	c.useCount++
 	head := requestHead(r)
@@ -135,7 +174,13 @@
 // connection may deliver a duplicate response to the previous request.
 func (c *Conn) readResponse(r Request, writeResult chan error) (*Response, error) {
 	for range maxMismatchedResponses + 1 {
+		c.limiter.remaining = maxHeadBytes
 		httpResp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method}) //nolint:bodyclose // Release or Discard end the body with the connection.
+		headTooLarge := err != nil && c.limiter.remaining == 0
+		c.limiter.remaining = -1
+		if headTooLarge {
+			return nil, waxfleet.WrapError(err, waxfleet.CodeAnswerMismatch, "no response within %d bytes", maxHeadBytes)
+		}
 		if err != nil {
 			return nil, waxfleet.WrapError(err, waxfleet.CodeBackendDied, "failed to read a response")
 		}
--- a/waxfleet/waxpool/pool.go
+++ b/waxfleet/waxpool/pool.go
@@ -1,7 +1,6 @@
 package waxpool
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"sync"
@@ -101,7 +100,7 @@
 		p.connClosed()
 		return nil, waxfleet.WrapError(err, waxfleet.CodePeerUnreachable, "failed to connect to %s", p.address)
 	}
-	return &Conn{Conn: conn, protocol: p.protocol, reader: bufio.NewReaderSize(conn, readBufferBytes), pool: p}, nil
+	return newConn(conn, p.protocol, p), nil
 }
 
 // takeIdle returns the most recently used idle connection, and closes those that have
--- a/waxfleet/waxpool/pool_test.go
+++ b/waxfleet/waxpool/pool_test.go
@@ -260,7 +260,7 @@
 			_, _ = io.WriteString(theirs, text)
 			_ = theirs.Close()
 		}()
-		c := &Conn{Conn: mine, protocol: plainProtocol{}, reader: bufio.NewReader(mine), pool: &Pool{}}
+		c := newConn(mine, plainProtocol{}, &Pool{})
 		writeResult := make(chan error, 1)
 		writeResult <- nil
 		resp, err := c.readResponse(request("1"), writeResult)
