waxpick, waxpeer: let a large fleet read each prompt at few engines

Instances that did not know the holder of a prompt chose the first engine of their own failure domain, so that each domain read each prompt, and holders became known late: a gateway passed on 60 cache entries each 0.5 s, three copies of each, while a domain produced hundreds.

Ruled out: load limits and weights (most readers had no known holder); on the small sites most of what is left concerns prompts whose engine is gone.

Change: the rendezvous order of engines is that of the whole fleet; entries that do not fit a datagram follow in up to 16 more; fleets of up to 16 instances (8 before) send to each other directly, which also halves the watchers of a fleet of nine.

TestNewPromptsAgree and TestManyNewEntries fail before.

waxbound: count calls as lost until the instance is killed. A call that picked the entry before its removal may start after the time at which the kill began; such a call failed restart-in-outage once beside load.

--- a/waxfleet/waxpeer/exchanger.go
+++ b/waxfleet/waxpeer/exchanger.go
@@ -19,10 +19,11 @@
 
 const (
 	// minGroupSendInterval is the minimum interval between two datagrams to a peer of the
-	// own group, for groups of up to maxMeshSize instances. In larger groups the interval
-	// grows in proportion, so that the datagram rate of an instance stays constant. Only
+	// own group. In groups that are larger than a full mesh, the interval grows so that
+	// the datagram rate of an instance is that of a group of constantRateGroupSize. Only
 	// new cache entries are sent earlier, after flushDelay.
-	minGroupSendInterval waxfleet.Millis = 200
+	minGroupSendInterval  waxfleet.Millis = 200
+	constantRateGroupSize                 = 8
 	// remoteSendInterval is the interval between two datagrams to another failure domain.
 	remoteSendInterval waxfleet.Millis = 500
 	// repeatInterval is the interval after which a datagram with unchanged counts is sent
@@ -39,6 +40,10 @@
 	// maxEntries is the maximum number of cache entries in a datagram; each takes 12
 	// bytes.
 	maxEntries = 60
+	// maxEntryDatagrams is the maximum number of further datagrams with cache entries
+	// after a regular one. While a fleet of hundreds of instances starts, its prompts are
+	// new to all engines, and the entries of a failure domain pass through its gateways.
+	maxEntryDatagrams = 16
 	// flushDelay is the delay before new cache entries are sent, so that one datagram
 	// carries several. Until a peer knows an entry, it may have the same prompt prefilled
 	// again elsewhere.
@@ -222,14 +227,40 @@
 		d := e.newDatagram(entries, true)
 		d.Own = encodeCounts(NameHash(e.opts.Self.FailureDomain), 0, counts)
 		d.Domains = relayed
-		e.sendTo(e.Topology().Group, d)
+		group := e.Topology().Group
+		e.sendTo(group, d)
+		e.sendEntries(group, waxcache.ScopeGroup, len(entries))
 	}
 }
 
+// sendEntries sends the cache entries that did not fit the last datagram, which had
+// included of them.
+func (e *Exchanger) sendEntries(peers []Peer, scope waxcache.Scope, included int) {
+	for n := 0; n < maxEntryDatagrams && included == maxEntries; n++ {
+		entries := e.opts.CacheIndex.NextUpdates(scope, maxEntries)
+		included = len(entries)
+		if included > 0 {
+			e.sendTo(peers, e.newEntriesDatagram(entries, scope))
+		}
+	}
+}
+
+// newEntriesDatagram returns a datagram with cache entries and without counts.
+func (e *Exchanger) newEntriesDatagram(entries []waxcache.Entry, scope waxcache.Scope) *waxwire.LoadDatagram {
+	d := e.newDatagram(entries, false)
+	if scope == waxcache.ScopeGroup {
+		d.Own = &waxwire.Counts{}
+	}
+	return d
+}
+
 // groupSendInterval returns the minimum interval between two datagrams to a group with
 // this many other instances.
 func groupSendInterval(others int) waxfleet.Millis {
-	return minGroupSendInterval * waxfleet.Millis(max(others+1, maxMeshSize)) / maxMeshSize
+	if isFullMesh(others) {
+		return minGroupSendInterval
+	}
+	return minGroupSendInterval * waxfleet.Millis(others+1) / constantRateGroupSize
 }
 
 // FollowTimeout returns the time without a datagram after which the replica of an
@@ -281,6 +312,7 @@
 		d := e.newDatagram(entries, true)
 		d.Domains = []*waxwire.Counts{e.loads.domainTotal(e.opts.Counts())}
 		e.sendTo(t.Remote, d)
+		e.sendEntries(t.Remote, waxcache.ScopeRemote, len(entries))
 	}
 }
 
@@ -317,9 +349,7 @@
 		return
 	}
 	for entries := range slices.Chunk(e.opts.CacheIndex.All(), maxEntries) {
-		d := e.newDatagram(entries, false)
-		d.Own = &waxwire.Counts{}
-		e.sendTo([]Peer{*to}, d)
+		e.sendTo([]Peer{*to}, e.newEntriesDatagram(entries, waxcache.ScopeGroup))
 	}
 }
 
--- a/waxfleet/waxpeer/peer_test.go
+++ b/waxfleet/waxpeer/peer_test.go
@@ -126,6 +126,52 @@
 	is.True(!first.StoreReachable()) // the store does not respond to the other instance
 }
 
+// TestManyNewEntries guards against instances of a large fleet that learn of cached
+// prompts only after seconds: right after a start all prompts are new, and the entries of
+// a failure domain pass through its gateways.
+func TestManyNewEntries(t *testing.T) {
+	is := is.New(t)
+	const prompts = 1_500
+	clock := waxfleet.NewClock()
+	var peers []Peer
+	indexes := map[string]*waxcache.Index{}
+	for _, domain := range []string{"caerdydd", "abertawe"} {
+		for i := range maxMeshSize/2 + 1 {
+			peers = append(peers, Peer{Name: fmt.Sprintf("%s-%d", domain, i), FailureDomain: domain, Address: freeAddress(t)})
+		}
+	}
+	for _, self := range peers {
+		indexes[self.Name] = waxcache.NewIndex()
+		e, err := NewExchanger(t.Context(), NewLoads(clock, self.FailureDomain), Options{
+			Self: self, Clock: clock, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+			Counts:         func() map[uint32]ServerLoad { return nil },
+			Revisions:      func() []uint64 { return nil },
+			StoreReachable: func() bool { return true },
+			CacheIndex:     indexes[self.Name], Suspects: waxsuspect.New(clock),
+		})
+		is.NoErr(err)
+		e.SetPeers(peers)
+	}
+	time.Sleep(2 * remoteSendInterval.Duration()) // snapshots for new instances are sent
+	keys := make([]waxcache.Key, prompts)
+	for i := range keys {
+		keys[i] = waxcache.NewKey([]waxfleet.PromptPart{{ID: fmt.Sprint(i), Tokens: 500}, {ID: "own", Tokens: 5}})
+		indexes["caerdydd-3"].Record(keys[i], 7)
+	}
+	started := time.Now()
+	for name, index := range indexes {
+		for _, k := range keys {
+			for index.CachedTokens(k)[7] != 500 {
+				if time.Since(started) > 20*time.Second { // one datagram of 60 each 0.5 s needs 37 s
+					t.Fatalf("%s lacks entries", name)
+				}
+				time.Sleep(time.Millisecond)
+			}
+		}
+	}
+	t.Logf("all entries after %v", time.Since(started))
+}
+
 // freeAddress returns a UDP address of 127.0.0.1 that was free at the time of the call.
 func freeAddress(t *testing.T) string {
 	t.Helper()
--- a/waxfleet/waxpeer/topology.go
+++ b/waxfleet/waxpeer/topology.go
@@ -11,7 +11,7 @@
 	// In larger fleets, instances send within their own failure domain, and gateways
 	// send its totals to the other failure domains, so that the traffic between failure
 	// domains does not grow with the square of the fleet size.
-	maxMeshSize = 8
+	maxMeshSize = 16
 	// gatewaysPerDomain is the number of instances of a failure domain that send its
 	// totals to other failure domains.
 	gatewaysPerDomain = 2
--- a/waxfleet/waxpick/pick.go
+++ b/waxfleet/waxpick/pick.go
@@ -99,9 +99,9 @@
 	// all requests of the engine.
 	prefillWeight = 1.6
 	// rankStepTokens is the extra queueing, in tokens, accepted per position that
-	// an engine is ahead in the rendezvous order of its failure domain. Instances
-	// that place the same new prompt at once thus choose the same engine, unless
-	// its queue is long.
+	// an engine is ahead in the rendezvous order of the fleet. Instances that place
+	// the same new prompt at once thus choose the same engine, whatever their failure
+	// domain, unless its queue is long.
 	rankStepTokens = 1_500
 	// crossDomainPenaltyTokens is the cost, in tokens of queueing, of an engine in
 	// another failure domain. Streams between domains break when the domains are
@@ -167,15 +167,12 @@
 	limit := loadLimit(p, mean)
 	choice := Choice{Reason: ReasonNone, MeanLoad: mean, LoadLimit: limit}
 	order := rendezvousOrder(p.Hash, candidates)
-	positions := map[string]int{}
 	best, bestCost := -1, 0.0
 	for i, c := range order {
-		position := positions[c.FailureDomain]
-		positions[c.FailureDomain]++
 		if c.Down || c.Degraded || excluded[c.ID] || c.Cold && !c.WithinColdRate || c.Load > limit {
 			continue
 		}
-		if cost := estimatedWait(p, c, position); best < 0 || cost < bestCost {
+		if cost := estimatedWait(p, c, i); best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
 	}
@@ -191,7 +188,7 @@
 }
 
 // estimatedWait returns the expected wait at an engine, in tokens. position is
-// that of the engine in the rendezvous order of its failure domain.
+// that of the engine in the rendezvous order.
 func estimatedWait(p Prompt, c Candidate, position int) float64 {
 	cost := float64(c.PendingTokens) + tokensPerRequest*float64(c.Load)
 	if c.FailureDomain != p.FailureDomain {
--- a/waxfleet/waxpick/pick_test.go
+++ b/waxfleet/waxpick/pick_test.go
@@ -159,3 +159,27 @@
 	h.RecordUnreachable(6000)
 	is.True(!h.Down(6000 + minBackoffDelay)) // a success resets the backoff
 }
+
+// TestNewPromptsAgree guards against engines of each failure domain that prefill the same
+// shared parts: instances that do not know yet which engine has a prompt cached choose the
+// same one in every failure domain.
+func TestNewPromptsAgree(t *testing.T) {
+	is := is.New(t)
+	var candidates []Candidate
+	for i := range 240 {
+		candidates = append(candidates, Candidate{ID: fmt.Sprintf("engine-%d", i), FailureDomain: fmt.Sprintf("d%d", i%6), Slots: 32, Load: 4})
+	}
+	chosen := map[string]int{}
+	for hash := range uint64(2_600) {
+		prompt := Prompt{FailureDomain: "d0", Hash: hash, SharedTokens: 8_600}
+		first := ForPrompt(prompt, candidates, nil)
+		for _, domain := range []string{"d1", "d2", "d3", "d4", "d5"} {
+			prompt.FailureDomain = domain
+			is.Equal(ForPrompt(prompt, candidates, nil).ID, first.ID)
+		}
+		chosen[first.ID]++
+	}
+	for _, n := range chosen {
+		is.True(n < 4*2_600/240) // and the prompts are spread over the engines
+	}
+}
--- a/waxload/waxbound/domain.go
+++ b/waxload/waxbound/domain.go
@@ -36,8 +36,8 @@
 	h.awaitFirstApplied()
 	h.setFaults(waxplatform.Faults{Outage: true})
 	h.load.RemoveEntry("router-5")
-	killedAt = h.clock.Now()
 	h.router("router-5").Kill()
+	killedAt = h.clock.Now() // calls that picked the entry before its removal may start late
 	h.sleep(300)
 	started := h.restart("router-5")
 	h.sleep(3_000)
