waxforward: check the key again right before a send

Cause: a key and its proof were checked when the head of a request had arrived. A caller may take seconds to send the body, a connection to a server hundreds of milliseconds, and the process may be paused; the request was then sent with a permission that had run out meanwhile.

Change: before each choice of a server and again once the connection is open, the key is checked against the configuration in force and its proof. Nothing is sent after a failure, so that the refusal is true; the name of the workspace follows the new configuration.

--- a/waxfleet/waxforward/forwarder.go
+++ b/waxfleet/waxforward/forwarder.go
@@ -216,6 +216,25 @@
 	return nil
 }
 
+// recheckKey authenticates the key again right before a send. Since the request was
+// admitted, its body was read, servers may have failed, and the process may have been
+// paused; meanwhile the key may have been revoked or its proof may have expired.
+func (f *Forwarder) recheckKey(req *requestState) error {
+	if !req.table.RequiresKey(req.route) {
+		return nil
+	}
+	w, ok := f.opts.Table().WorkspaceByKey(req.inbound.APIKey)
+	if !ok {
+		return waxfleet.NewError(waxfleet.CodeUnauthorized, "API key was revoked while the request waited")
+	}
+	if !f.opts.Freshness.Fresh() {
+		age, _ := f.opts.Freshness.Age()
+		return waxfleet.NewError(waxfleet.CodeConfigStale, "API keys were last confirmed %d ms ago", age)
+	}
+	req.workspace = w
+	return nil
+}
+
 // refuseUnlessStale returns the refusal if the configuration is recent, and
 // CodeConfigStale otherwise: a version that this instance has not seen may
 // allow the request.
--- a/waxfleet/waxforward/retry.go
+++ b/waxfleet/waxforward/retry.go
@@ -44,6 +44,9 @@
 func (f *Forwarder) forward(ctx context.Context, req *requestState) error {
 	var last error
 	for {
+		if err := f.recheckKey(req); err != nil {
+			return f.keyError(req, err)
+		}
 		state, choice := f.selectServer(req)
 		if state == nil {
 			return f.noServerError(req, string(choice.Reason), last)
@@ -111,6 +114,14 @@
 	return errors.Is(err, errServerTimeout) || errors.As(err, &timeout) && timeout.Timeout()
 }
 
+// keyError returns the error of a request whose key is no longer accepted.
+func (f *Forwarder) keyError(req *requestState, err error) error {
+	if req.runs > 0 {
+		return waxfleet.WrapError(err, waxfleet.CodeOutcomeUnknown, "an earlier attempt may have run")
+	}
+	return err
+}
+
 // noServerError returns the error of a request for which no server is eligible. last is
 // the error of the last send, or nil.
 func (f *Forwarder) noServerError(req *requestState, reason string, last error) error {
--- a/waxfleet/waxforward/send.go
+++ b/waxfleet/waxforward/send.go
@@ -36,6 +36,10 @@
 		conn.Discard()
 		return resultNotSent, waxfleet.NewError(waxfleet.CodeBackendLeaving, "%s no longer accepts requests", id)
 	}
+	if err := f.recheckKey(req); err != nil {
+		conn.Discard()
+		return resultNotSent, err
+	}
 	sendCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stop := context.AfterFunc(sendCtx, conn.Discard)
