--- a/waxfleet/waxpeer/exchanger.go
+++ b/waxfleet/waxpeer/exchanger.go
@@ -22,8 +22,9 @@
 	// own group. In groups that are larger than a full mesh, the interval grows so that
 	// the datagram rate of an instance is that of a group of constantRateGroupSize. Only
 	// new cache entries are sent earlier, after flushDelay.
-	minGroupSendInterval  waxfleet.Millis = 200
-	constantRateGroupSize                 = 8
+	minGroupSendInterval waxfleet.Millis = 200
+	// constantRateGroupSize is a number of instances.
+	constantRateGroupSize = 8
 	// remoteSendInterval is the interval between two datagrams to another failure domain.
 	remoteSendInterval waxfleet.Millis = 500
 	// repeatInterval is the interval after which a datagram with unchanged counts is sent
