waxreplica: leave a store that has stopped answering a watcher

Cause: the store no longer answered some instances, without refusing them. Such a watcher lacked changes that others had seen; its call was ended at each report, each 0.4 s, and repeated, so that it never reached its timeout of 1.9 s. No loss was noted, and nothing changed the source: the log of edge-caerfyrddin-9 shows 14 reports in 5 s for the feed of servers, and the loss of the configuration alone, whose calls were left to their timeout.

Ruled out: followers of a silent watcher (they left it), the datagrams (the reports name the missing revisions), the first lists of a start.

Change: the call of an instance that watches the store goes on; when the reports have lasted for 0.7 s, the store counts as failed and the next instance is followed. TestSilentStore fails before.

--- a/waxfleet/waxfront/follow.go
+++ b/waxfleet/waxfront/follow.go
@@ -297,11 +297,12 @@
 			if now-behindSince[feed] < timeout {
 				continue
 			}
-			inst.log.Warn("replica is behind; choosing another source", "feed", feed,
-				"revision", reached, "others", revision)
+			inst.log.Warn("replica is behind", "feed", feed,
+				"revision", reached, "others", revision, "peer", inst.replicas.selector.Followed())
 			delete(behindSince, feed)
-			inst.replicas.selector.ReplicaBehind()
-			inst.replicas.interrupt(feed)
+			if inst.replicas.selector.ReplicaBehind() {
+				inst.replicas.interrupt(feed)
+			}
 		}
 	}
 }
--- a/waxfleet/waxreplica/replica_test.go
+++ b/waxfleet/waxreplica/replica_test.go
@@ -373,3 +373,41 @@
 	_, err = feed.List(context.Background())
 	is.NoErr(err)
 }
+
+// TestSilentStore guards against a watcher that the store has stopped answering without a
+// refusal: other instances report changes that it lacks, and ending its call at each of
+// these reports kept the call from its timeout, so that the instance sent requests to
+// servers that had left 4.5 s before.
+func TestSilentStore(t *testing.T) {
+	is := is.New(t)
+	clock := waxfleet.NewManualClock(100_000)
+	order := slices.SortedFunc(slices.Values([]string{"edge-1", "edge-2", "edge-3"}), waxplace.CompareByHash)
+	selector := NewSelector(clock, order[0])
+	is.Equal(selector.Source(order[1:], false), "")
+	is.True(!selector.ReplicaBehind()) // the call goes on
+	clock.Advance(400)
+	is.True(!selector.ReplicaBehind())
+	is.Equal(selector.Source(order[1:], false), "")
+	clock.Advance(400)
+	is.True(selector.ReplicaBehind())
+	is.Equal(selector.Source(order[1:], false), order[1])
+	is.True(!selector.Serves()) // the next instance may follow this one
+	clock.Advance(sourceRetryDelay)
+	is.Equal(selector.Source(order[1:], false), "")
+
+	// A slow store, which lags now and then, is not left.
+	for range 5 {
+		clock.Advance(repeatedLagWindow)
+		is.True(!selector.ReplicaBehind())
+		is.Equal(selector.Source(order[1:], false), "")
+	}
+
+	// Nobody else reaches the store: the call gets its time.
+	clock.Advance(storeLagTimeout)
+	is.True(selector.ReplicaBehind())
+	is.Equal(selector.Source(nil, false), "")
+	for range 5 {
+		clock.Advance(400)
+		is.True(!selector.ReplicaBehind())
+	}
+}
--- a/waxfleet/waxreplica/selector.go
+++ b/waxfleet/waxreplica/selector.go
@@ -31,6 +31,10 @@
 	// within two seconds.
 	duplicateLagWindow waxfleet.Millis = 250
 	repeatedLagWindow  waxfleet.Millis = 1_500
+	// storeLagTimeout is how long an instance that watches the store may lack changes that
+	// others have seen, as it does while the store is slow. Changes have to be in force
+	// within two seconds.
+	storeLagTimeout waxfleet.Millis = 700
 	// watcherMinRetryDelay and watcherMaxRetryDelay bound the retry delay of a watching
 	// instance after a failed call for the configuration. Such a retry detects for the
 	// whole fleet that the store has recovered. otherMinRetryDelay and otherMaxRetryDelay
@@ -72,9 +76,14 @@
 	mu              sync.Mutex
 	watchStoreUntil waxfleet.Millis
 	avoidStoreUntil waxfleet.Millis
-	lastLagAt       waxfleet.Millis
-	avoidUntil      map[string]waxfleet.Millis
-	followed        string
+	// lastLagAt and storeLagAt are when ReplicaBehind was last called while the instance
+	// followed a replica, and while it watched the store. storeLagSince is when the latter
+	// reports began.
+	lastLagAt     waxfleet.Millis
+	storeLagAt    waxfleet.Millis
+	storeLagSince waxfleet.Millis
+	avoidUntil    map[string]waxfleet.Millis
+	followed      string
 }
 
 // NewSelector returns a selector for the named instance.
@@ -84,6 +93,7 @@
 		instance:   instance,
 		avoidUntil: map[string]waxfleet.Millis{},
 		lastLagAt:  -repeatedLagWindow,
+		storeLagAt: -repeatedLagWindow,
 	}
 }
 
@@ -175,15 +185,31 @@
 	return otherMinRetryDelay, otherMaxRetryDelay
 }
 
-// ReplicaBehind records that other instances have seen changes that the followed replica
-// lacks. The instance then follows the next usable one, or watches the store itself when
-// that replica lacks them too.
-func (s *Selector) ReplicaBehind() {
+// ReplicaBehind records that other instances have seen changes that this one lacks. It
+// reports whether the current call should end because Source may return another source.
+//
+// An instance that follows a replica then follows the next usable one, or watches the store
+// itself when that replica lacks them too. An instance that watches the store lets its call
+// go on until the reports have lasted for storeLagTimeout; then the store counts as failed.
+// Ending the call at each report would repeat a call that gets no response and never
+// reaches its timeout.
+func (s *Selector) ReplicaBehind() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
-	if s.followed == "" || now-s.lastLagAt < duplicateLagWindow {
-		return
+	if s.followed == "" {
+		if now-s.storeLagAt >= repeatedLagWindow {
+			s.storeLagSince = now
+		}
+		s.storeLagAt = now
+		if now-s.storeLagSince < storeLagTimeout || now < s.avoidStoreUntil {
+			return false
+		}
+		s.avoidStoreUntil = now + sourceRetryDelay
+		return true
+	}
+	if now-s.lastLagAt < duplicateLagWindow {
+		return true
 	}
 	if now-s.lastLagAt < repeatedLagWindow {
 		s.watchStoreUntil = now + directWatchWindow
@@ -191,4 +217,5 @@
 		s.avoidUntil[s.followed] = now + sourceRetryDelay
 	}
 	s.lastLagAt = now
+	return true
 }
