waxnode, waxforward: remove two copies of small pieces

The channel that signals an installed configuration carried a version that nobody read, and its goroutine was a method where the others are closures.

Behaviour stays as it is.

--- a/waxfleet/waxforward/forwarder.go
+++ b/waxfleet/waxforward/forwarder.go
@@ -208,6 +208,12 @@
 	if !ok {
 		return f.refuseUnlessStale(waxfleet.NewError(waxfleet.CodeUnauthorized, "missing or unknown API key"))
 	}
+	return f.acceptKey(req, w)
+}
+
+// acceptKey sets the workspace of the request's key, unless the proof that the list of
+// keys is current has expired.
+func (f *Forwarder) acceptKey(req *requestState, w waxtable.Workspace) error {
 	if !f.opts.Freshness.Fresh() {
 		age, _ := f.opts.Freshness.Age()
 		return waxfleet.NewError(waxfleet.CodeConfigStale, "API keys were last confirmed %d ms ago", age)
@@ -227,12 +233,7 @@
 	if !ok {
 		return waxfleet.NewError(waxfleet.CodeUnauthorized, "API key was revoked while the request waited")
 	}
-	if !f.opts.Freshness.Fresh() {
-		age, _ := f.opts.Freshness.Age()
-		return waxfleet.NewError(waxfleet.CodeConfigStale, "API keys were last confirmed %d ms ago", age)
-	}
-	req.workspace = w
-	return nil
+	return f.acceptKey(req, w)
 }
 
 // refuseUnlessStale returns the refusal if the configuration is recent, and
--- a/waxfleet/waxnode/local.go
+++ b/waxfleet/waxnode/local.go
@@ -104,23 +104,11 @@
 func (n *Node) configChanged(version uint64) {
 	n.log.Info("configuration in force", "version", version)
 	select {
-	case n.configInstalled <- version:
+	case n.configInstalled <- struct{}{}:
 	default:
 	}
 }
 
-// announceConfigs announces installed configurations to peers until ctx ends.
-func (n *Node) announceConfigs(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-n.configInstalled:
-			n.exchanger.AnnounceConfig(ctx, n.ConfigVersion())
-		}
-	}
-}
-
 // awaitNewerConfig returns when a digest names a newer configuration, or after interval.
 // It returns an error if ctx has ended.
 func (n *Node) awaitNewerConfig(ctx context.Context, interval waxfleet.Millis) error {
--- a/waxfleet/waxnode/node.go
+++ b/waxfleet/waxnode/node.go
@@ -89,7 +89,7 @@
 	// newerConfig signals that a digest named a newer configuration, and configInstalled
 	// that one was installed.
 	newerConfig     chan struct{}
-	configInstalled chan uint64
+	configInstalled chan struct{}
 
 	listMu sync.Mutex
 	// listRequestedAt is when the current instance list was requested. lastListed holds
@@ -129,7 +129,7 @@
 		options:     options,
 		lastListed:  map[string]waxfleet.Millis{},
 
-		newerConfig: make(chan struct{}, 1), configInstalled: make(chan uint64, 1),
+		newerConfig: make(chan struct{}, 1), configInstalled: make(chan struct{}, 1),
 	}
 	if err := n.initComponents(ctx); err != nil {
 		_ = callerListener.Close()
@@ -276,7 +276,16 @@
 			n.updateGauges()
 		}
 	}()
-	go n.announceConfigs(ctx)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-n.configInstalled:
+				n.exchanger.AnnounceConfig(ctx, n.ConfigVersion())
+			}
+		}
+	}()
 	go func() {
 		for n.clock.Sleep(ctx, claimDeletionInterval) == nil {
 			n.deleteExpiredClaims(ctx, claims)
