waxforward: log the prompt parts and the progress of requests on servers that died

Neither the parts that those prompts share nor how far their answers had come could be told from the logs.

The line now has the IDs of the shared parts, the time since the send and the time since the head of the answer. No logic changed.

--- a/waxfleet/waxforward/forwarder.go
+++ b/waxfleet/waxforward/forwarder.go
@@ -124,6 +124,9 @@
 	entry waxfleet.BackendServerEntry
 	// digest identifies the request and the caller's retries of it.
 	digest string
+	// sentAt and headerAt are the times at which the last send began and at which its
+	// response header arrived; headerAt is 0 until then.
+	sentAt, headerAt waxfleet.Millis
 	// cacheSource is the address of an engine from which the selected one can
 	// fetch cached parts of the prompt, or "".
 	cacheSource string
--- a/waxfleet/waxforward/send.go
+++ b/waxfleet/waxforward/send.go
@@ -49,6 +49,7 @@
 	}
 	req.sends++
 	req.runs++
+	req.sentAt, req.headerAt = f.opts.Clock.Now(), 0
 	timeout := f.headerTimeout(req)
 	var timer *time.Timer
 	if timeout > 0 {
@@ -66,6 +67,7 @@
 	if timer != nil {
 		timer.Stop()
 	}
+	req.headerAt = f.opts.Clock.Now()
 	release()
 	f.servers.recordActivity(req.entry)
 	if resp.Head.NotRun || resp.Head.Misdirected {
--- a/waxfleet/waxforward/suspect.go
+++ b/waxfleet/waxforward/suspect.go
@@ -78,6 +78,10 @@
 func (f *Forwarder) probeServer(ctx context.Context, req *requestState, state *serverState) {
 	digest, id := req.digest, req.inbound.ID
 	entry := req.entry
+	parts, sinceSent, sinceHeader := sharedPartIDs(req.inbound.PromptParts), f.opts.Clock.Now()-req.sentAt, waxfleet.Millis(-1)
+	if req.headerAt > 0 {
+		sinceHeader = f.opts.Clock.Now() - req.headerAt
+	}
 	incarnation := entry.Server().ID() + "/" + strconv.FormatInt(entry.StartUnixMilli(), 10)
 	ctx = context.WithoutCancel(ctx)
 	go func() {
@@ -97,6 +101,16 @@
 			deaths = f.opts.Suspects.RecordDeath(digest, incarnation)
 		}
 		f.opts.Log.Warn("backend server died", "request", id, "server", entry.Server().ID(),
-			"digest", digest, "deaths", deaths, "completed-lately", completed)
+			"digest", digest, "deaths", deaths, "completed-lately", completed,
+			"parts", parts, "sent-ms", int64(sinceSent), "header-ms", int64(sinceHeader))
 	}()
 }
+
+// sharedPartIDs returns the IDs of the parts of a prompt that other requests may share.
+func sharedPartIDs(parts []waxfleet.PromptPart) []string {
+	ids := make([]string, 0, len(parts))
+	for _, p := range parts[:max(0, len(parts)-1)] {
+		ids = append(ids, p.ID)
+	}
+	return ids
+}
