--- a/waxfleet/waxcache/index.go
+++ b/waxfleet/waxcache/index.go
@@ -11,6 +11,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxgossip"
 )
 
 const (
@@ -21,12 +22,6 @@
 	// ignored: if one evicted another, each request would cause an update to all
 	// instances.
 	maxServersPerPart = 64
-	// updateCopies is the number of datagrams that carry each new entry, because some may
-	// be lost.
-	updateCopies = 3
-	// maxUpdates bounds the queue of entries to send. When the queue exceeds twice this
-	// length, the oldest maxUpdates entries are dropped.
-	maxUpdates = 2_000
 )
 
 // Entry is a cache entry: an engine has a part of a prompt and all parts before it in its
@@ -93,25 +88,7 @@
 type Index struct {
 	mu      sync.Mutex
 	parts   *lru.Cache[uint64, []uint32]
-	updates [scopeCount][]pendingUpdate
-}
-
-// Scope selects the instances that an update is sent to.
-type Scope int
-
-// Scopes of an update.
-const (
-	// ScopeGroup selects the group of instances that exchange datagrams directly.
-	ScopeGroup Scope = iota
-	// ScopeRemote selects the other failure domains of a large fleet.
-	ScopeRemote
-	scopeCount = 2
-)
-
-// pendingUpdate is an entry to send to other instances.
-type pendingUpdate struct {
-	entry      Entry
-	copiesLeft int
+	updates waxgossip.Queue[Entry]
 }
 
 // NewIndex returns an empty index.
@@ -149,8 +126,7 @@
 	changed := false
 	for _, part := range k.parts {
 		if ix.add(Entry{Part: part, Server: server}) {
-			ix.enqueueUpdate(ScopeGroup, Entry{Part: part, Server: server})
-			ix.enqueueUpdate(ScopeRemote, Entry{Part: part, Server: server})
+			ix.updates.AddAll(Entry{Part: part, Server: server})
 			changed = true
 		}
 	}
@@ -159,24 +135,16 @@
 
 // Merge adds an entry received from another instance. If the entry is new, Merge queues
 // it for the scope and returns true.
-func (ix *Index) Merge(entry Entry, scope Scope) bool {
+func (ix *Index) Merge(entry Entry, scope waxgossip.Scope) bool {
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
 	if !ix.add(entry) {
 		return false
 	}
-	ix.enqueueUpdate(scope, entry)
+	ix.updates.Add(scope, entry)
 	return true
 }
 
-// enqueueUpdate queues an entry for the next datagrams. The caller holds the lock.
-func (ix *Index) enqueueUpdate(scope Scope, entry Entry) {
-	ix.updates[scope] = append(ix.updates[scope], pendingUpdate{entry: entry, copiesLeft: updateCopies})
-	if len(ix.updates[scope]) > 2*maxUpdates {
-		ix.updates[scope] = slices.Clone(ix.updates[scope][maxUpdates:])
-	}
-}
-
 // add adds an entry and reports whether it was new. The caller holds the lock.
 func (ix *Index) add(entry Entry) bool {
 	servers, _ := ix.parts.Get(entry.Part)
@@ -209,24 +177,10 @@
 }
 
 // NextUpdates returns at most limit entries for the next datagram of the scope.
-func (ix *Index) NextUpdates(scope Scope, limit int) []Entry {
+func (ix *Index) NextUpdates(scope waxgossip.Scope, limit int) []Entry {
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
-	queue := ix.updates[scope]
-	n := min(limit, len(queue))
-	out := make([]Entry, 0, n)
-	kept := make([]pendingUpdate, 0, len(queue))
-	for i, v := range queue {
-		if i < n {
-			out = append(out, v.entry)
-			v.copiesLeft--
-		}
-		if v.copiesLeft > 0 {
-			kept = append(kept, v)
-		}
-	}
-	ix.updates[scope] = kept
-	return out
+	return ix.updates.Next(scope, limit)
 }
 
 // All returns all entries, for an instance that has just started.
--- a/waxfleet/waxcache/index_test.go
+++ b/waxfleet/waxcache/index_test.go
@@ -6,6 +6,7 @@
 	"github.com/matryer/is"
 
 	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxgossip"
 )
 
 func keyOf(parts ...waxfleet.PromptPart) Key { return NewKey(parts) }
@@ -68,24 +69,21 @@
 	is.True(IncarnationHash("engine-1", 1) != IncarnationHash("engine-1", 2))
 }
 
-// TestUpdates guards against an entry that peers never get because one datagram
-// was lost, and against sending an entry forever.
+// TestUpdates guards against an entry that is sent back to where it came from, and one
+// that another instance does not adopt.
 func TestUpdates(t *testing.T) {
 	is := is.New(t)
 	ix := NewIndex()
 	ix.Record(keyOf(schoolPart, letterPart, ownPart), 7)
-	for range updateCopies {
-		is.Equal(len(ix.NextUpdates(ScopeGroup, 10)), 2)
-	}
-	is.Equal(len(ix.NextUpdates(ScopeGroup, 10)), 0)
+	is.Equal(len(ix.NextUpdates(waxgossip.ScopeGroup, 10)), 2)
 
 	other := NewIndex()
 	for _, v := range ix.All() {
-		is.True(other.Merge(v, ScopeRemote))
+		is.True(other.Merge(v, waxgossip.ScopeRemote))
 	}
 	is.Equal(other.CachedTokens(keyOf(schoolPart, letterPart, ownPart)), ix.CachedTokens(keyOf(schoolPart, letterPart, ownPart)))
-	is.Equal(len(other.NextUpdates(ScopeGroup, 10)), 0) // an update isn't sent back to the group
-	is.Equal(len(other.NextUpdates(ScopeRemote, 10)), 2)
+	is.Equal(len(other.NextUpdates(waxgossip.ScopeGroup, 10)), 0) // an update isn't sent back to the group
+	is.Equal(len(other.NextUpdates(waxgossip.ScopeRemote, 10)), 2)
 }
 
 // TestUpdatesAreBounded guards against datagrams larger than a frame.
@@ -95,6 +93,6 @@
 	for i := range 100 {
 		ix.Record(keyOf(waxfleet.PromptPart{ID: string(rune('a' + i)), Tokens: 1}, ownPart), 7)
 	}
-	is.Equal(len(ix.NextUpdates(ScopeGroup, 60)), 60)
+	is.Equal(len(ix.NextUpdates(waxgossip.ScopeGroup, 60)), 60)
 	is.Equal(len(ix.All()), 100)
 }
--- a/waxfleet/waxpeer/exchanger.go
+++ b/waxfleet/waxpeer/exchanger.go
@@ -13,6 +13,7 @@
 
 	"waxwingdrift.org/waxfleet"
 	"waxwingdrift.org/waxfleet/waxcache"
+	"waxwingdrift.org/waxfleet/waxgossip"
 	"waxwingdrift.org/waxfleet/waxsuspect"
 	"waxwingdrift.org/waxfleet/waxwire"
 )
@@ -183,9 +184,9 @@
 // apply applies a datagram. It queues new cache entries from another failure domain for
 // the own group, and those from the own group for the other failure domains.
 func (e *Exchanger) apply(d *waxwire.LoadDatagram) {
-	scope := waxcache.ScopeRemote
+	scope := waxgossip.ScopeRemote
 	if d.GetOwn() == nil {
-		scope = waxcache.ScopeGroup
+		scope = waxgossip.ScopeGroup
 	}
 	added := false
 	for i, part := range d.GetHeldParts() {
@@ -193,7 +194,7 @@
 			added = e.opts.CacheIndex.Merge(waxcache.Entry{Part: part, Server: d.GetHolders()[i]}, scope) || added
 		}
 	}
-	if added && scope == waxcache.ScopeGroup {
+	if added && scope == waxgossip.ScopeGroup {
 		e.Flush()
 	}
 	for _, v := range d.GetSuspicions() {
@@ -217,7 +218,7 @@
 	var lastAt waxfleet.Millis
 	for e.waitInterval(ctx, groupSendInterval(len(e.Topology().Group))) {
 		counts, revisions := e.opts.Counts(), e.opts.Revisions()
-		entries := e.opts.CacheIndex.NextUpdates(waxcache.ScopeGroup, maxEntries)
+		entries := e.opts.CacheIndex.NextUpdates(waxgossip.ScopeGroup, maxEntries)
 		relayed := e.loads.relayCounts()
 		now := e.opts.Clock.Now()
 		if now-lastAt < repeatInterval && len(entries) == 0 && len(relayed) == 0 &&
@@ -230,13 +231,13 @@
 		d.Domains = relayed
 		group := e.Topology().Group
 		e.sendTo(group, d)
-		e.sendEntries(group, waxcache.ScopeGroup, len(entries))
+		e.sendEntries(group, waxgossip.ScopeGroup, len(entries))
 	}
 }
 
 // sendEntries sends the cache entries that did not fit the last datagram, which had
 // included of them.
-func (e *Exchanger) sendEntries(peers []Peer, scope waxcache.Scope, included int) {
+func (e *Exchanger) sendEntries(peers []Peer, scope waxgossip.Scope, included int) {
 	for n := 0; n < maxEntryDatagrams && included == maxEntries; n++ {
 		entries := e.opts.CacheIndex.NextUpdates(scope, maxEntries)
 		included = len(entries)
@@ -247,9 +248,9 @@
 }
 
 // newEntriesDatagram returns a datagram with cache entries and without counts.
-func (e *Exchanger) newEntriesDatagram(entries []waxcache.Entry, scope waxcache.Scope) *waxwire.LoadDatagram {
+func (e *Exchanger) newEntriesDatagram(entries []waxcache.Entry, scope waxgossip.Scope) *waxwire.LoadDatagram {
 	d := e.newDatagram(entries, false)
-	if scope == waxcache.ScopeGroup {
+	if scope == waxgossip.ScopeGroup {
 		d.Own = &waxwire.Counts{}
 	}
 	return d
@@ -306,14 +307,14 @@
 func (e *Exchanger) broadcastRemote(ctx context.Context) {
 	for e.opts.Clock.Sleep(ctx, remoteSendInterval) == nil {
 		t := e.Topology()
-		entries := e.opts.CacheIndex.NextUpdates(waxcache.ScopeRemote, maxEntries)
+		entries := e.opts.CacheIndex.NextUpdates(waxgossip.ScopeRemote, maxEntries)
 		if !t.Gateway || len(t.Remote) == 0 {
 			continue
 		}
 		d := e.newDatagram(entries, true)
 		d.Domains = []*waxwire.Counts{e.loads.domainTotal(e.opts.Counts())}
 		e.sendTo(t.Remote, d)
-		e.sendEntries(t.Remote, waxcache.ScopeRemote, len(entries))
+		e.sendEntries(t.Remote, waxgossip.ScopeRemote, len(entries))
 	}
 }
 
@@ -350,7 +351,7 @@
 		return
 	}
 	for entries := range slices.Chunk(e.opts.CacheIndex.All(), maxEntries) {
-		e.sendTo([]Peer{*to}, e.newEntriesDatagram(entries, waxcache.ScopeGroup))
+		e.sendTo([]Peer{*to}, e.newEntriesDatagram(entries, waxgossip.ScopeGroup))
 	}
 }
 
--- a/waxfleet/waxpeer/peer_test.go
+++ b/waxfleet/waxpeer/peer_test.go
@@ -14,6 +14,7 @@
 
 	"waxwingdrift.org/waxfleet"
 	"waxwingdrift.org/waxfleet/waxcache"
+	"waxwingdrift.org/waxfleet/waxgossip"
 	"waxwingdrift.org/waxfleet/waxsuspect"
 	"waxwingdrift.org/waxfleet/waxwire"
 )
@@ -112,7 +113,7 @@
 	early, late := waxcache.NewIndex(), waxcache.NewIndex()
 	early.Record(key, 7)
 	for range 10 {
-		early.NextUpdates(waxcache.ScopeGroup, 10) // sent before the other instance started
+		early.NextUpdates(waxgossip.ScopeGroup, 10) // sent before the other instance started
 	}
 	first := start("r1", early, 2)
 	second := start("r2", late, 5)
