waxcrash: refuse prompts with a part that crashes engines

What callers saw: streams that broke and 502 on requests of all kinds, because one engine after the other ended.

Cause: evidence of crashes was kept for whole requests alone, by a digest that includes the body. Requests with the part are all different, so that each digest had one death (52 log lines, 52 digests) and none was ever refused. The class of fault: blame was bound to the identity of one request, not to what requests have in common.

Ruled out: deaths that are not noticed (each ended engine has its log line), and evidence that arrives late (the other instances had it within 100 ms). Found on the way, of the same class: a datagram carried the ten first suspicions by digest only, so that others were never sent, and an instance that had started got none of the earlier ones.

Change: waxcrash collects crashes and answers for each trait of a request: the shared parts of its prompt, and its digest. Independent crashes without an answer ban the trait that explains most of them; these crashes then count against no other trait. Datagrams carry all evidence in copies, and a started instance gets all of it.

--- a/waxfleet/code.go
+++ b/waxfleet/code.go
@@ -45,6 +45,7 @@
 	CodeBackendLeaving    Code = 2011
 	CodeConfigStale       Code = 2012
 	CodeStopping          Code = 2013
+	CodePromptBanned      Code = 2014
 
 	CodeOutcomeUnknown   Code = 3001
 	CodeStreamIncomplete Code = 3002
@@ -115,6 +116,7 @@
 	CodeNotOwner:             {"not-owner", http.StatusServiceUnavailable, true},
 	CodeClaimsUnavailable:    {"claims-unavailable", http.StatusServiceUnavailable, true},
 	CodeRequestBanned:        {"request-banned", http.StatusUnprocessableEntity, false},
+	CodePromptBanned:         {"prompt-banned", http.StatusServiceUnavailable, true},
 	CodeQueueFull:            {"queue-full", http.StatusServiceUnavailable, true},
 	CodePeerUnreachable:      {"peer-unreachable", http.StatusBadGateway, true},
 	CodeBackendLeaving:       {"backend-leaving", http.StatusServiceUnavailable, true},
--- /dev/null
+++ b/waxfleet/waxcrash/record.go
@@ -0,0 +1,99 @@
+package waxcrash
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"waxwingdrift.org/waxfleet"
+)
+
+// crash is the crash of a server while a request was beginning there.
+type crash struct {
+	server     uint64
+	sentAt, at waxfleet.Millis
+}
+
+// record is the evidence about one trait.
+type record struct {
+	trait Trait
+	// crashes is sorted by time, and holds at most maxCrashes.
+	crashes []crash
+	// answeredAt is the time of the latest known answer; answered is false without one.
+	answeredAt waxfleet.Millis
+	answered   bool
+	// trialAt is the time of the latest trial by this instance; tried is false before it.
+	trialAt waxfleet.Millis
+	tried   bool
+}
+
+// add adds a crash, and reports whether it was new.
+func (r *record) add(c crash) bool {
+	if slices.ContainsFunc(r.crashes, func(known crash) bool { return known.server == c.server }) {
+		return false
+	}
+	r.crashes = append(r.crashes, c)
+	slices.SortFunc(r.crashes, func(a, b crash) int { return cmp.Compare(a.at, b.at) })
+	if len(r.crashes) > maxCrashes {
+		r.crashes = r.crashes[len(r.crashes)-maxCrashes:]
+	}
+	return true
+}
+
+// counts reports whether a crash counts against the trait: a request with a trait that
+// crashes servers is never answered.
+func (r *record) counts(c crash) bool { return !r.answered || c.at > r.answeredAt }
+
+// answer records an answer, and reports whether it is of use: the first known one, or one
+// after a crash that counted.
+func (r *record) answer(at waxfleet.Millis) bool {
+	if r.answered && !slices.ContainsFunc(r.crashes, func(c crash) bool { return r.counts(c) && c.at <= at }) {
+		return false
+	}
+	r.answered, r.answeredAt = true, at
+	return true
+}
+
+// independentCrashes returns the number of crashes that are neither explained by another
+// trait nor the effect of one event. Servers that fail together fail with requests that
+// were all sent before; a trait that crashes servers does so again with later requests.
+func (r *record) independentCrashes(explained map[uint64]bool) int {
+	n := 0
+	var last waxfleet.Millis
+	for _, c := range r.crashes {
+		if explained[c.server] || !r.counts(c) || n > 0 && c.sentAt < last {
+			continue
+		}
+		n++
+		last = c.at
+	}
+	return n
+}
+
+// banThreshold returns the number of independent crashes at which the trait is banned.
+func (r *record) banThreshold() int {
+	i := slices.IndexFunc(r.crashes, r.counts)
+	if i >= 0 && r.answered && r.crashes[i].at-r.answeredAt < answerTTL {
+		return banThresholdAnswered
+	}
+	return banThreshold
+}
+
+// lastCrashAt returns the time of the latest crash.
+func (r *record) lastCrashAt() waxfleet.Millis { return r.crashes[len(r.crashes)-1].at }
+
+// trialDelay returns the delay after the latest crash of the next trial of a trait that is
+// banned after so many independent crashes.
+func (r *record) trialDelay(independent int) waxfleet.Millis {
+	total := 0
+	for _, c := range r.crashes {
+		if r.counts(c) {
+			total++
+		}
+	}
+	delay := waxfleet.Millis(min(float64(minTrialDelay)*math.Pow(3, float64(independent-banThreshold)), float64(maxTrialDelay)))
+	if total >= manyCrashes {
+		return max(delay, manyCrashesDelay)
+	}
+	return delay
+}
--- a/waxfleet/waxforward/forwarder.go
+++ b/waxfleet/waxforward/forwarder.go
@@ -18,10 +18,10 @@
 
 	"waxwingdrift.org/waxfleet"
 	"waxwingdrift.org/waxfleet/waxcache"
+	"waxwingdrift.org/waxfleet/waxcrash"
 	"waxwingdrift.org/waxfleet/waxdirectory"
 	"waxwingdrift.org/waxfleet/waxfresh"
 	"waxwingdrift.org/waxfleet/waxpeer"
-	"waxwingdrift.org/waxfleet/waxsuspect"
 	"waxwingdrift.org/waxfleet/waxtable"
 )
 
@@ -49,12 +49,13 @@
 	Directory  *waxdirectory.Directory
 	Loads      *waxpeer.Loads
 	CacheIndex *waxcache.Index
-	Suspects   *waxsuspect.Registry
+	// Crashes decides which requests would crash their servers.
+	Crashes *waxcrash.Ledger
 	// InstancesUnreachable reports whether no router instance of a failure domain was
 	// heard from recently.
 	InstancesUnreachable func(domain string) bool
-	// FlushUpdates is called when the prefix cache table has updates for other
-	// instances.
+	// FlushUpdates is called when the prefix cache table or the crash ledger has updates
+	// for other instances.
 	FlushUpdates func()
 	Freshness    *waxfresh.Freshness
 	Servers      *Servers
@@ -87,15 +88,14 @@
 
 // Forwarder is the HTTP handler for the requests of callers.
 type Forwarder struct {
-	opts        Options
-	servers     *Servers
-	completions *completions
-	active      atomic.Int64
+	opts    Options
+	servers *Servers
+	active  atomic.Int64
 }
 
 // New returns a Forwarder. All options but Observe are required.
 func New(opts Options) *Forwarder {
-	return &Forwarder{opts: opts, servers: opts.Servers, completions: newCompletions(opts.Clock)}
+	return &Forwarder{opts: opts, servers: opts.Servers}
 }
 
 // Active returns the number of requests in progress.
@@ -124,9 +124,21 @@
 	entry waxfleet.BackendServerEntry
 	// digest identifies the request and the caller's retries of it.
 	digest string
-	// sentAt and headerAt are the times at which the last send began and at which its
-	// response header arrived; headerAt is 0 until then.
-	sentAt, headerAt waxfleet.Millis
+	// traits are the properties for which the request may be banned. The last one is that
+	// of the digest.
+	traits []waxcrash.Trait
+	// runsAtCheck is the value of runs at the last check for bans, or -1. Each send that
+	// may have run is followed by another check.
+	runsAtCheck int
+	// retryAfter is the Retry-After delay of a banned request.
+	retryAfter waxfleet.Millis
+	// sentAt, headerAt and firstEventAt are the times at which the last send began and at
+	// which its response header and its first event arrived; the latter two are 0 until
+	// then.
+	sentAt, headerAt, firstEventAt waxfleet.Millis
+	// partsCleared is true once the answer shows that the parts of the prompt do not crash
+	// servers.
+	partsCleared bool
 	// cacheSource is the address of an engine from which the selected one can
 	// fetch cached parts of the prompt, or "".
 	cacheSource string
@@ -147,6 +159,7 @@
 		target:       r.RequestURI,
 		host:         r.Host,
 		triedServers: map[string]bool{},
+		runsAtCheck:  -1,
 		response:     newResponseWriter(w, f.opts.Protocol, f.opts.Clock),
 	}
 	if f.opts.Stopping() {
@@ -164,8 +177,7 @@
 	f.finish(r.Context(), req, err)
 }
 
-// admit matches the route, authenticates the key, reads the body and checks that the
-// request isn't banned.
+// admit matches the route, authenticates the key and reads the body.
 func (f *Forwarder) admit(req *requestState, r *http.Request) error {
 	req.table = f.opts.Table()
 	if req.table == nil {
@@ -195,7 +207,8 @@
 	if err := f.readBody(req, r); err != nil {
 		return err
 	}
-	return f.checkBan(req)
+	req.setTraits()
+	return nil
 }
 
 // authenticate sets the workspace that the API key belongs to. On routes
@@ -322,7 +335,7 @@
 	var status int
 	abort := req.response.headerSent()
 	if !abort {
-		status = req.response.writeError(req.inbound.ID, err, retryAfterDelay(code))
+		status = req.response.writeError(req.inbound.ID, err, retryAfterDelay(req, code))
 	}
 	f.opts.Log.Warn("request failed", append(attrs, "answered", status, "cut", abort)...)
 	if abort {
--- a/waxfleet/waxforward/relay.go
+++ b/waxfleet/waxforward/relay.go
@@ -134,6 +134,7 @@
 		if id > newest {
 			newest = id
 			f.servers.recordActivity(req.entry)
+			f.recordProgress(req)
 			if timer != nil {
 				timer.Reset(gap.Duration())
 			}
--- a/waxfleet/waxforward/retry.go
+++ b/waxfleet/waxforward/retry.go
@@ -47,6 +47,9 @@
 		if err := f.recheckKey(req); err != nil {
 			return f.keyError(req, err)
 		}
+		if err := f.checkBan(req); err != nil {
+			return err
+		}
 		state, choice := f.selectServer(req)
 		if state == nil {
 			return f.noServerError(req, string(choice.Reason), last)
@@ -66,8 +69,7 @@
 		span.End()
 		f.servers.finish(state, req.service, healthEffectOf(res, err), ctx.Err() == nil && isTimeout(err))
 		if res == resultComplete {
-			f.opts.Suspects.Clear(req.digest)
-			f.completions.add(req.digest)
+			f.recordAnswer(req.traits)
 			return nil
 		}
 		if res == resultMayHaveRun && ctx.Err() == nil {
@@ -187,8 +189,10 @@
 }
 
 // retryAfterDelay returns the Retry-After delay of a refused request.
-func retryAfterDelay(code waxfleet.Code) waxfleet.Millis {
+func retryAfterDelay(req *requestState, code waxfleet.Code) waxfleet.Millis {
 	switch code {
+	case waxfleet.CodePromptBanned:
+		return req.retryAfter
 	case waxfleet.CodeConfigStale, waxfleet.CodeConfigUnavailable, waxfleet.CodeStopping:
 		// Another instance may be able to serve the request at once.
 		return retryAfterStaleDelay
--- a/waxfleet/waxforward/suspect.go
+++ b/waxfleet/waxforward/suspect.go
@@ -5,51 +5,21 @@
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
-	lru "github.com/hashicorp/golang-lru/v2"
 
 	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxcrash"
 )
 
-// probeDelay is the delay between the end of a connection and the probe of its server. A
-// server that crashed is unreachable for seconds, while one that only reset the
-// connection accepts the probe at once.
-const probeDelay waxfleet.Millis = 50
-
 const (
-	// completionTTL is how long a completed request is exempt from suspicion. Callers
-	// repeat popular requests within seconds.
-	completionTTL waxfleet.Millis = 60_000
-	// maxCompletions is the maximum number of digests of completed requests. Each takes
-	// about 100 bytes.
-	maxCompletions = 10_000
+	// probeDelay is the delay between the end of a connection and the probe of its server.
+	// A server that crashed is unreachable for seconds, while one that only reset the
+	// connection accepts the probe at once.
+	probeDelay waxfleet.Millis = 50
+	// beginPeriod is the time from the first event of an answer during which the answer
+	// counts as beginning. A part of a prompt that crashes engines does so before its end.
+	beginPeriod waxfleet.Millis = 500
 )
 
-// completions remembers which requests completed recently. If several servers crash at
-// once while each runs the same popular request, that request is not the cause: if it
-// were, it would never complete.
-type completions struct {
-	clock  *waxfleet.Clock
-	recent *lru.Cache[string, waxfleet.Millis]
-}
-
-func newCompletions(clock *waxfleet.Clock) *completions {
-	recent, err := lru.New[string, waxfleet.Millis](maxCompletions)
-	if err != nil {
-		panic(err) // unreachable: the size is positive
-	}
-	return &completions{clock: clock, recent: recent}
-}
-
-// add records that a request with the digest completed.
-func (c *completions) add(digest string) { c.recent.Add(digest, c.clock.Now()) }
-
-// completedRecently reports whether a request with the digest completed within
-// completionTTL.
-func (c *completions) completedRecently(digest string) bool {
-	at, ok := c.recent.Get(digest)
-	return ok && c.clock.Now()-at < completionTTL
-}
-
 // requestDigest returns a hash of the parts of a request that stay the same when its
 // caller retries it.
 func requestDigest(req *requestState) string {
@@ -62,27 +32,61 @@
 	return strconv.FormatUint(d.Sum64(), 16)
 }
 
-// checkBan sets the digest of the request, and returns CodeRequestBanned if the request
-// has crashed several backend servers. Without the ban, the caller's retries, which may
-// reach any instance, would crash one server after another.
-func (f *Forwarder) checkBan(req *requestState) error {
+// setTraits sets the traits of the request that may crash servers.
+func (req *requestState) setTraits() {
 	req.digest = requestDigest(req)
-	if f.opts.Suspects.Banned(req.digest) {
-		return waxfleet.NewError(waxfleet.CodeRequestBanned, "%d backend servers died while they ran this request", f.opts.Suspects.Deaths(req.digest))
+	req.traits = append(partTraits(req.inbound.PromptParts), waxcrash.RequestTrait(req.digest))
+}
+
+// partTraits returns the traits of the parts of a prompt that other requests may share.
+func partTraits(parts []waxfleet.PromptPart) []waxcrash.Trait {
+	traits := make([]waxcrash.Trait, 0, len(parts)+1)
+	for i, p := range parts[:max(0, len(parts)-1)] {
+		traits = append(traits, waxcrash.PartTrait(p.ID, i))
+	}
+	return traits
+}
+
+// checkBan returns an error if the request would probably crash its server. Without the
+// ban, requests with the same trait, which may reach any instance, would crash one server
+// after another.
+func (f *Forwarder) checkBan(req *requestState) error {
+	if req.runsAtCheck == req.runs {
+		return nil
+	}
+	req.runsAtCheck = req.runs
+	v := f.opts.Crashes.Check(req.traits)
+	if !v.Banned() {
+		return nil
 	}
-	return nil
+	if v.Trait().IsRequest() {
+		return waxfleet.NewError(waxfleet.CodeRequestBanned, "%d backend servers died while they ran this request", v.Crashes())
+	}
+	req.retryAfter = v.RetryAfter()
+	err := waxfleet.NewError(waxfleet.CodePromptBanned, "%d backend servers died when they began to answer prompts with a part of this one", v.Crashes())
+	if req.runs > 0 {
+		return err.WithoutNotRun()
+	}
+	return err
+}
+
+// suspectTraits returns the traits of a request whose server died at a time during the
+// last send. An answer that had been going on for beginPeriod clears the parts of the
+// prompt.
+func (req *requestState) suspectTraits(diedAt waxfleet.Millis) []waxcrash.Trait {
+	if req.firstEventAt > 0 && diedAt-req.firstEventAt >= beginPeriod {
+		return req.traits[len(req.traits)-1:]
+	}
+	return req.traits
 }
 
 // probeServer probes a server in the background after its connection failed during the
-// request. It records a death if the server is unreachable.
+// request. It records a crash if the server is unreachable.
 func (f *Forwarder) probeServer(ctx context.Context, req *requestState, state *serverState) {
-	digest, id := req.digest, req.inbound.ID
-	entry := req.entry
-	parts, sinceSent, sinceHeader := sharedPartIDs(req.inbound.PromptParts), f.opts.Clock.Now()-req.sentAt, waxfleet.Millis(-1)
-	if req.headerAt > 0 {
-		sinceHeader = f.opts.Clock.Now() - req.headerAt
-	}
-	incarnation := entry.Server().ID() + "/" + strconv.FormatInt(entry.StartUnixMilli(), 10)
+	id, digest, entry := req.inbound.ID, req.digest, req.entry
+	sentAt, diedAt := req.sentAt, f.opts.Clock.Now()
+	traits, parts := req.suspectTraits(diedAt), sharedPartIDs(req.inbound.PromptParts)
+	sinceHeader, sinceEvent := sinceIfSet(diedAt, req.headerAt), sinceIfSet(diedAt, req.firstEventAt)
 	ctx = context.WithoutCancel(ctx)
 	go func() {
 		if f.opts.Clock.Sleep(ctx, probeDelay) != nil {
@@ -96,16 +100,47 @@
 		if waxfleet.CodeOf(err) != waxfleet.CodePeerUnreachable {
 			return
 		}
-		deaths, completed := 0, f.completions.completedRecently(digest)
-		if !completed {
-			deaths = f.opts.Suspects.RecordDeath(digest, incarnation)
-		}
+		incarnation := xxhash.Sum64String(entry.Server().ID() + "/" + strconv.FormatInt(entry.StartUnixMilli(), 10))
+		changes := f.opts.Crashes.RecordCrash(max(incarnation, 1), traits, sentAt, diedAt)
+		f.opts.FlushUpdates()
 		f.opts.Log.Warn("backend server died", "request", id, "server", entry.Server().ID(),
-			"digest", digest, "deaths", deaths, "completed-lately", completed,
-			"parts", parts, "sent-ms", int64(sinceSent), "header-ms", int64(sinceHeader))
+			"digest", digest, "parts", parts, "traits", traits,
+			"sent-ms", int64(diedAt-sentAt), "header-ms", int64(sinceHeader), "event-ms", int64(sinceEvent))
+		waxcrash.LogChanges(f.opts.Log, changes)
 	}()
 }
 
+// recordAnswer records that a server began to answer a request with the traits, and did
+// not crash.
+func (f *Forwarder) recordAnswer(traits []waxcrash.Trait) {
+	updated, changes := f.opts.Crashes.RecordAnswer(traits)
+	if updated {
+		f.opts.FlushUpdates()
+	}
+	waxcrash.LogChanges(f.opts.Log, changes)
+}
+
+// recordProgress records an event of an answer. Once the answer has gone on for
+// beginPeriod, it shows that the parts of the prompt do not crash servers.
+func (f *Forwarder) recordProgress(req *requestState) {
+	now := f.opts.Clock.Now()
+	if req.firstEventAt == 0 {
+		req.firstEventAt = now
+	}
+	if !req.partsCleared && now-req.firstEventAt >= beginPeriod {
+		req.partsCleared = true
+		f.recordAnswer(req.traits[:len(req.traits)-1])
+	}
+}
+
+// sinceIfSet returns the time from at to now, or -1 if at is 0.
+func sinceIfSet(now, at waxfleet.Millis) waxfleet.Millis {
+	if at == 0 {
+		return -1
+	}
+	return now - at
+}
+
 // sharedPartIDs returns the IDs of the parts of a prompt that other requests may share.
 func sharedPartIDs(parts []waxfleet.PromptPart) []string {
 	ids := make([]string, 0, len(parts))
--- a/waxfleet/waxfront/instance.go
+++ b/waxfleet/waxfront/instance.go
@@ -19,14 +19,15 @@
 
 	"waxwingdrift.org/waxfleet"
 	"waxwingdrift.org/waxfleet/waxcache"
+	"waxwingdrift.org/waxfleet/waxcrash"
 	"waxwingdrift.org/waxfleet/waxdirectory"
 	"waxwingdrift.org/waxfleet/waxforward"
 	"waxwingdrift.org/waxfleet/waxfresh"
 	"waxwingdrift.org/waxfleet/waxmetric"
 	"waxwingdrift.org/waxfleet/waxpeer"
+	"waxwingdrift.org/waxfleet/waxplace"
 	"waxwingdrift.org/waxfleet/waxquota"
 	"waxwingdrift.org/waxfleet/waxreplica"
-	"waxwingdrift.org/waxfleet/waxsuspect"
 	"waxwingdrift.org/waxfleet/waxtable"
 	"waxwingdrift.org/waxfleet/waxwire/waxwireconnect"
 )
@@ -78,7 +79,7 @@
 	servers      *waxforward.Servers
 	loads        *waxpeer.Loads
 	cacheIndex   *waxcache.Index
-	suspects     *waxsuspect.Registry
+	crashes      *waxcrash.Ledger
 	exchanger    *waxpeer.Exchanger
 	replicas     *replicaSet
 	forwarder    *waxforward.Forwarder
@@ -116,7 +117,7 @@
 	inst.servers = waxforward.NewServers(opts.Clock, opts.Protocol)
 	inst.loads = waxpeer.NewLoads(opts.Clock, settings.FailureDomain)
 	inst.cacheIndex = waxcache.NewIndex()
-	inst.suspects = waxsuspect.New(opts.Clock)
+	inst.crashes = waxcrash.New(opts.Clock, inst.trialRank)
 	inst.metrics = newMetrics(ctx, settings.Instance)
 	tracers, err := waxmetric.NewTracer(ctx, settings.Instance, opts.TraceWriter)
 	if err != nil {
@@ -132,7 +133,7 @@
 		Directory:            inst.directory,
 		Loads:                inst.loads,
 		CacheIndex:           inst.cacheIndex,
-		Suspects:             inst.suspects,
+		Crashes:              inst.crashes,
 		InstancesUnreachable: func(domain string) bool { return inst.exchanger.InstancesUnreachable(domain) },
 		FlushUpdates:         func() { inst.exchanger.Flush() },
 		Freshness:            inst.freshness,
@@ -154,7 +155,7 @@
 		Log:            opts.Log,
 		Counts:         inst.servers.Counts,
 		CacheIndex:     inst.cacheIndex,
-		Suspects:       inst.suspects,
+		Crashes:        inst.crashes,
 		Revisions:      inst.replicas.changeRevisions,
 		StoreReachable: func() bool { return inst.replicas.storeReachable() && inst.table.Load() != nil },
 	})
@@ -265,6 +266,19 @@
 	return inst.instances
 }
 
+// trialRank returns the position of this instance in the rendezvous order of the instances
+// for a trait.
+func (inst *Instance) trialRank(trait uint64) int {
+	rank := 0
+	own := waxplace.Weight(trait, waxpeer.NameHash(inst.opts.Settings.Instance))
+	for _, name := range inst.Instances() {
+		if waxplace.Weight(trait, waxpeer.NameHash(name)) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
 // forwardBounds returns the current limits on what the whole fleet sends.
 func (inst *Instance) forwardBounds() waxforward.Bounds {
 	b := inst.bounds.Load()
--- a/waxfleet/waxpeer/exchanger.go
+++ b/waxfleet/waxpeer/exchanger.go
@@ -13,8 +13,8 @@
 
 	"waxwingdrift.org/waxfleet"
 	"waxwingdrift.org/waxfleet/waxcache"
+	"waxwingdrift.org/waxfleet/waxcrash"
 	"waxwingdrift.org/waxfleet/waxgossip"
-	"waxwingdrift.org/waxfleet/waxsuspect"
 	"waxwingdrift.org/waxfleet/waxwire"
 )
 
@@ -50,13 +50,14 @@
 	// carries several. Until a peer knows an entry, it may have the same prompt prefilled
 	// again elsewhere.
 	flushDelay waxfleet.Millis = 20
-	// suspicionBroadcastWindow is the time for which a changed suspicion is repeated in
-	// datagrams.
-	suspicionBroadcastWindow waxfleet.Millis = 2_000
-	// maxSuspicions is the maximum number of suspicions in a datagram.
-	maxSuspicions = 10
-	// snapshotSenders is the number of instances that send all cache entries to a peer
-	// that has just started.
+	// maxReports is the maximum number of crash reports in a datagram; each takes up to 35
+	// bytes. A crash brings up to four for each request that was beginning at the server.
+	maxReports = 36
+	// maxReportDatagrams is the maximum number of datagrams with crash reports that are
+	// sent at once.
+	maxReportDatagrams = 16
+	// snapshotSenders is the number of instances that send all cache entries and crash
+	// reports to a peer that has just started.
 	snapshotSenders = 2
 )
 
@@ -73,8 +74,8 @@
 	StoreReachable func() bool
 	// CacheIndex records which engines have which prompt parts in their caches.
 	CacheIndex *waxcache.Index
-	// Suspects records the requests that may crash backend servers.
-	Suspects *waxsuspect.Registry
+	// Crashes holds the evidence about requests that crash backend servers.
+	Crashes *waxcrash.Ledger
 }
 
 // Exchanger sends the load of this instance to its peers and receives theirs. It is safe
@@ -181,8 +182,9 @@
 	}
 }
 
-// apply applies a datagram. It queues new cache entries from another failure domain for
-// the own group, and those from the own group for the other failure domains.
+// apply applies a datagram. It queues new cache entries and crash reports from another
+// failure domain for the own group, and those from the own group for the other failure
+// domains.
 func (e *Exchanger) apply(d *waxwire.LoadDatagram) {
 	scope := waxgossip.ScopeRemote
 	if d.GetOwn() == nil {
@@ -194,15 +196,11 @@
 			added = e.opts.CacheIndex.Merge(waxcache.Entry{Part: part, Server: d.GetHolders()[i]}, scope) || added
 		}
 	}
-	if added && scope == waxgossip.ScopeGroup {
+	updated, changes := e.opts.Crashes.Merge(decodeReports(d), scope)
+	waxcrash.LogChanges(e.opts.Log, changes)
+	if (added || updated) && scope == waxgossip.ScopeGroup {
 		e.Flush()
 	}
-	for _, v := range d.GetSuspicions() {
-		if e.opts.Suspects.Merge(v.GetDigest(), int(v.GetDeaths()), int(v.GetCleared()), waxfleet.Millis(v.GetRemainingMs())) {
-			e.opts.Log.Info("suspicion received", "digest", v.GetDigest(), "deaths", v.GetDeaths(),
-				"cleared", v.GetCleared())
-		}
-	}
 	if d.GetSequence() == 0 {
 		return
 	}
@@ -217,19 +215,20 @@
 	var lastRevisions []uint64
 	var lastAt waxfleet.Millis
 	for e.waitInterval(ctx, groupSendInterval(len(e.Topology().Group))) {
+		group := e.Topology().Group
+		e.sendReports(group, waxgossip.ScopeGroup)
 		counts, revisions := e.opts.Counts(), e.opts.Revisions()
 		entries := e.opts.CacheIndex.NextUpdates(waxgossip.ScopeGroup, maxEntries)
 		relayed := e.loads.relayCounts()
 		now := e.opts.Clock.Now()
 		if now-lastAt < repeatInterval && len(entries) == 0 && len(relayed) == 0 &&
-			len(e.opts.Suspects.Changed(suspicionBroadcastWindow)) == 0 && maps.Equal(counts, last) && slices.Equal(revisions, lastRevisions) {
+			maps.Equal(counts, last) && slices.Equal(revisions, lastRevisions) {
 			continue
 		}
 		last, lastRevisions, lastAt = counts, revisions, now
 		d := e.newDatagram(entries, true)
 		d.Own = encodeCounts(NameHash(e.opts.Self.FailureDomain), 0, counts)
 		d.Domains = relayed
-		group := e.Topology().Group
 		e.sendTo(group, d)
 		e.sendEntries(group, waxgossip.ScopeGroup, len(entries))
 	}
@@ -247,6 +246,39 @@
 	}
 }
 
+// sendReports sends the crash reports that are queued for the scope.
+func (e *Exchanger) sendReports(peers []Peer, scope waxgossip.Scope) {
+	for range maxReportDatagrams {
+		reports := e.opts.Crashes.NextReports(scope, maxReports)
+		if len(reports) == 0 {
+			return
+		}
+		e.sendTo(peers, e.newReportsDatagram(reports, scope))
+	}
+}
+
+// newReportsDatagram returns a datagram with crash reports and without counts.
+func (e *Exchanger) newReportsDatagram(reports []waxcrash.Report, scope waxgossip.Scope) *waxwire.LoadDatagram {
+	d := e.newEntriesDatagram(nil, scope)
+	for _, r := range reports {
+		d.CrashReports = append(d.CrashReports, &waxwire.CrashReport{
+			Trait: r.Trait().Hash(), Specificity: uint32(r.Trait().Specificity()), Server: r.Server(),
+			SentAgoMs: int64(r.SentAgo()), AgoMs: int64(r.Ago()),
+		})
+	}
+	return d
+}
+
+// decodeReports returns the crash reports of a datagram.
+func decodeReports(d *waxwire.LoadDatagram) []waxcrash.Report {
+	reports := make([]waxcrash.Report, 0, len(d.GetCrashReports()))
+	for _, v := range d.GetCrashReports() {
+		trait := waxcrash.NewTrait(v.GetTrait(), int(v.GetSpecificity()))
+		reports = append(reports, waxcrash.NewReport(trait, v.GetServer(), waxfleet.Millis(v.GetSentAgoMs()), waxfleet.Millis(v.GetAgoMs())))
+	}
+	return reports
+}
+
 // newEntriesDatagram returns a datagram with cache entries and without counts.
 func (e *Exchanger) newEntriesDatagram(entries []waxcache.Entry, scope waxgossip.Scope) *waxwire.LoadDatagram {
 	d := e.newDatagram(entries, false)
@@ -309,8 +341,10 @@
 		t := e.Topology()
 		entries := e.opts.CacheIndex.NextUpdates(waxgossip.ScopeRemote, maxEntries)
 		if !t.Gateway || len(t.Remote) == 0 {
+			e.opts.Crashes.NextReports(waxgossip.ScopeRemote, maxReports*maxReportDatagrams)
 			continue
 		}
+		e.sendReports(t.Remote, waxgossip.ScopeRemote)
 		d := e.newDatagram(entries, true)
 		d.Domains = []*waxwire.Counts{e.loads.domainTotal(e.opts.Counts())}
 		e.sendTo(t.Remote, d)
@@ -333,8 +367,8 @@
 	}
 }
 
-// sendSnapshot sends all cache entries to an instance that has just started, if this
-// instance is among its snapshotSenders.
+// sendSnapshot sends all cache entries and crash reports to an instance that has just
+// started, if this instance is among its snapshotSenders.
 func (e *Exchanger) sendSnapshot(instance uint64) {
 	var to *Peer
 	rank := 0
@@ -353,10 +387,12 @@
 	for entries := range slices.Chunk(e.opts.CacheIndex.All(), maxEntries) {
 		e.sendTo([]Peer{*to}, e.newEntriesDatagram(entries, waxgossip.ScopeGroup))
 	}
+	for reports := range slices.Chunk(e.opts.Crashes.All(), maxReports) {
+		e.sendTo([]Peer{*to}, e.newReportsDatagram(reports, waxgossip.ScopeGroup))
+	}
 }
 
-// newDatagram returns a datagram with the cache entries, the suspicions and the feed
-// revisions. Receivers ignore the counts of a datagram without a sequence number.
+// newDatagram returns a datagram with the cache entries and the feed revisions. Receivers ignore the counts of a datagram without a sequence number.
 func (e *Exchanger) newDatagram(entries []waxcache.Entry, sequenced bool) *waxwire.LoadDatagram {
 	d := &waxwire.LoadDatagram{
 		Instance:     NameHash(e.opts.Self.Name),
@@ -370,12 +406,6 @@
 		d.Sequence = e.sequence
 		e.mu.Unlock()
 	}
-	suspicions := e.opts.Suspects.Changed(suspicionBroadcastWindow)
-	for _, r := range suspicions[:min(maxSuspicions, len(suspicions))] {
-		d.Suspicions = append(d.Suspicions, &waxwire.Suspicion{
-			Digest: r.Digest(), Deaths: uint32(r.Deaths()), Cleared: uint32(r.Cleared()), RemainingMs: int64(r.Remaining()),
-		})
-	}
 	for _, entry := range entries {
 		d.HeldParts = append(d.HeldParts, entry.Part)
 		d.Holders = append(d.Holders, entry.Server)
--- a/waxfleet/waxpeer/loads.go
+++ b/waxfleet/waxpeer/loads.go
@@ -1,7 +1,7 @@
 // Package waxpeer exchanges the numbers of requests in flight between router instances in
 // UDP datagrams, so that each instance routes by the load of the whole fleet. The
-// datagrams also carry cache entries, suspicions against requests, and the feed revisions
-// that an instance has seen.
+// datagrams also carry cache entries, evidence about requests that crash servers, and the
+// feed revisions that an instance has seen.
 package waxpeer
 
 import (
--- a/waxfleet/waxpeer/peer_test.go
+++ b/waxfleet/waxpeer/peer_test.go
@@ -14,8 +14,8 @@
 
 	"waxwingdrift.org/waxfleet"
 	"waxwingdrift.org/waxfleet/waxcache"
+	"waxwingdrift.org/waxfleet/waxcrash"
 	"waxwingdrift.org/waxfleet/waxgossip"
-	"waxwingdrift.org/waxfleet/waxsuspect"
 	"waxwingdrift.org/waxfleet/waxwire"
 )
 
@@ -74,9 +74,14 @@
 	}
 }
 
+// newLedger returns a ledger of an instance that tries banned traits first.
+func newLedger(clock *waxfleet.Clock) *waxcrash.Ledger {
+	return waxcrash.New(clock, func(uint64) int { return 0 })
+}
+
 // TestExchange guards against instances that do not receive each other's counts and cache
 // entries, and against an instance that starts late and does not receive earlier cache
-// entries.
+// entries and crash reports.
 func TestExchange(t *testing.T) {
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -84,8 +89,14 @@
 	clock := waxfleet.NewClock()
 	key := waxcache.NewKey([]waxfleet.PromptPart{{ID: "a", Tokens: 500}, {ID: "own", Tokens: 5}})
 	addresses := map[string]string{"r1": freeAddress(t), "r2": freeAddress(t)}
-	suspects := map[string]*waxsuspect.Registry{"r1": waxsuspect.New(clock), "r2": waxsuspect.New(clock)}
-	suspects["r1"].RecordDeath("request", "e1")
+	crashes := map[string]*waxcrash.Ledger{"r1": newLedger(clock), "r2": newLedger(clock)}
+	bad := waxcrash.PartTrait("bad", 0)
+	for server := range uint64(2) {
+		crashes["r1"].RecordCrash(server+1, []waxcrash.Trait{bad}, clock.Now(), clock.Now())
+	}
+	for range 10 {
+		crashes["r1"].NextReports(waxgossip.ScopeGroup, 10) // sent before the other instance started
+	}
 	start := func(name string, cacheIndex *waxcache.Index, inFlight int) *Loads {
 		loads := NewLoads(clock, "caerdydd")
 		e, err := NewExchanger(ctx, loads, Options{
@@ -96,7 +107,7 @@
 			Revisions:      func() []uint64 { return []uint64{uint64(inFlight)} },
 			StoreReachable: func() bool { return name == "r1" },
 			CacheIndex:     cacheIndex,
-			Suspects:       suspects[name],
+			Crashes:        crashes[name],
 		})
 		is.NoErr(err)
 		e.SetPeers([]Peer{{
@@ -118,7 +129,7 @@
 	first := start("r1", early, 2)
 	second := start("r2", late, 5)
 	deadline := time.Now().Add(20 * time.Second)
-	for late.CachedTokens(key)[7] != 500 || !suspects["r2"].Suspected("request") || !second.StoreReachable() || first.Counts()[ServerHash("e1")].InFlight != 5 || second.Counts()[ServerHash("e1")].InFlight != 2 {
+	for late.CachedTokens(key)[7] != 500 || crashes["r2"].Crashes(bad) != 2 || !second.StoreReachable() || first.Counts()[ServerHash("e1")].InFlight != 5 || second.Counts()[ServerHash("e1")].InFlight != 2 {
 		if time.Now().After(deadline) {
 			t.Fatalf("cached %v, counts %v and %v", late.CachedTokens(key), first.Counts(), second.Counts())
 		}
@@ -128,27 +139,28 @@
 }
 
 // TestManyNewEntries guards against instances of a large fleet that learn of cached
-// prompts only after seconds: right after a start all prompts are new, and the entries of
-// a failure domain pass through its gateways.
+// prompts or of crashes only after seconds: right after a start all prompts are new, and
+// the entries and reports of a failure domain pass through its gateways. A server that
+// crashes had requests with many traits.
 func TestManyNewEntries(t *testing.T) {
 	is := is.New(t)
-	const prompts = 1_500
+	const prompts, crashTraits = 1_500, 60
 	clock := waxfleet.NewClock()
 	var peers []Peer
-	indexes := map[string]*waxcache.Index{}
+	indexes, ledgers := map[string]*waxcache.Index{}, map[string]*waxcrash.Ledger{}
 	for _, domain := range []string{"caerdydd", "abertawe"} {
 		for i := range maxMeshSize/2 + 1 {
 			peers = append(peers, Peer{Name: fmt.Sprintf("%s-%d", domain, i), FailureDomain: domain, Address: freeAddress(t)})
 		}
 	}
 	for _, self := range peers {
-		indexes[self.Name] = waxcache.NewIndex()
+		indexes[self.Name], ledgers[self.Name] = waxcache.NewIndex(), newLedger(clock)
 		e, err := NewExchanger(t.Context(), NewLoads(clock, self.FailureDomain), Options{
 			Self: self, Clock: clock, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 			Counts:         func() map[uint32]ServerLoad { return nil },
 			Revisions:      func() []uint64 { return nil },
 			StoreReachable: func() bool { return true },
-			CacheIndex:     indexes[self.Name], Suspects: waxsuspect.New(clock),
+			CacheIndex:     indexes[self.Name], Crashes: ledgers[self.Name],
 		})
 		is.NoErr(err)
 		e.SetPeers(peers)
@@ -159,7 +171,23 @@
 		keys[i] = waxcache.NewKey([]waxfleet.PromptPart{{ID: fmt.Sprint(i), Tokens: 500}, {ID: "own", Tokens: 5}})
 		indexes["caerdydd-3"].Record(keys[i], 7)
 	}
+	traits := make([]waxcrash.Trait, crashTraits)
+	for i := range traits {
+		traits[i] = waxcrash.PartTrait(fmt.Sprint(i), 0)
+	}
+	for server := range uint64(2) {
+		at := clock.Now() + waxfleet.Millis(server)*100
+		ledgers["caerdydd-5"].RecordCrash(server+1, traits, at, at+50)
+	}
 	started := time.Now()
+	for name, ledger := range ledgers {
+		for len(ledger.All()) != 2*crashTraits {
+			if time.Since(started) > 5*time.Second {
+				t.Fatalf("%s lacks crash reports", name)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
 	for name, index := range indexes {
 		for _, k := range keys {
 			for index.CachedTokens(k)[7] != 500 {
