waxforward: take a stream that ends inside an event for broken

What callers saw: an answer that looked complete although its last event was cut, where the server closed the connection cleanly.

Cause: the bytes after the last blank line were passed on as the last event at a clean end. whole/unframed failed before: the caller got 'events 1 2 3 4', the fourth one cut, as a complete answer.

Change: only line breaks may follow the last event; otherwise the stream is broken, and a resumable one goes on at another server. A stream without framing that ends before its first event is no answer.

--- a/waxfleet/waxforward/events.go
+++ b/waxfleet/waxforward/events.go
@@ -28,7 +28,8 @@
 }
 
 // next returns the next complete event and its id; -1 if it has none. The bytes
-// are valid until the next call. At the end of the stream it returns io.EOF.
+// are valid until the next call. At the end of the stream it returns io.EOF, or
+// CodeStreamIncomplete if the stream ends inside an event.
 func (r *eventReader) next() ([]byte, int64, error) {
 	r.buf = append(r.buf[:0], r.buf[r.consumed:]...)
 	r.consumed, r.scanned = 0, 0
@@ -51,12 +52,16 @@
 	}
 }
 
-// trailing returns the bytes after the last event of a stream that ended
-// cleanly. It drops an incomplete event of a stream that broke off.
+// trailing returns the line breaks after the last event of a stream that ended. A stream
+// that ends inside an event was broken off, even if its connection was closed cleanly; the
+// incomplete event is dropped.
 func (r *eventReader) trailing() ([]byte, int64, error) {
 	if !errors.Is(r.err, io.EOF) || len(r.buf) == 0 {
 		return nil, -1, r.err
 	}
+	if len(bytes.Trim(r.buf, "\r\n")) > 0 {
+		return nil, -1, waxfleet.NewError(waxfleet.CodeStreamIncomplete, "stream ended inside an event")
+	}
 	r.consumed = len(r.buf)
 	return r.buf, -1, nil
 }
--- a/waxfleet/waxforward/relay.go
+++ b/waxfleet/waxforward/relay.go
@@ -119,6 +119,9 @@
 	}
 	for {
 		event, id, err := events.next()
+		if errors.Is(err, io.EOF) && !req.response.headerSent() && !resp.Framed() {
+			return resultMayHaveRun, waxfleet.NewError(waxfleet.CodeStreamIncomplete, "connection ended before the first event")
+		}
 		if errors.Is(err, io.EOF) {
 			if !req.response.headerSent() {
 				req.response.writeHeader(resp.Status, resp.Header, -1)
--- a/waxfleet/waxpool/conn.go
+++ b/waxfleet/waxpool/conn.go
@@ -118,6 +118,12 @@
 	writeResult chan error
 }
 
+// Framed reports whether the response marks its end. Otherwise it ends with its
+// connection, and a crash of the server may look like the end.
+func (r *Response) Framed() bool {
+	return r.Length >= 0 || len(r.httpResponse.TransferEncoding) > 0
+}
+
 // RoundTrip sends the request and reads the header of the response. A call of Discard by
 // another goroutine aborts it. After an error, the connection must be discarded.
 //
