waxforward: check the server after an answer without framing

What callers would see: a prompt part crashes engines without end where answers have neither a length nor chunks. The end of such an answer looks complete when its engine crashes after an event, so that it cleared the part instead of counting against it.

Change: after an answer without framing the server is probed like after a broken one. It counts as a crash if the server can't be reached, and as an answer otherwise.

--- a/waxfleet/waxforward/forwarder.go
+++ b/waxfleet/waxforward/forwarder.go
@@ -136,6 +136,8 @@
 	// which its response header and its first event arrived; the latter two are 0 until
 	// then.
 	sentAt, headerAt, firstEventAt waxfleet.Millis
+	// framed is true if the response to the last send marks its end.
+	framed bool
 	// partsCleared is true once the answer shows that the parts of the prompt do not crash
 	// servers.
 	partsCleared bool
--- a/waxfleet/waxforward/retry.go
+++ b/waxfleet/waxforward/retry.go
@@ -69,11 +69,15 @@
 		span.End()
 		f.servers.finish(state, req.service, healthEffectOf(res, err), ctx.Err() == nil && isTimeout(err))
 		if res == resultComplete {
-			f.recordAnswer(req.traits)
+			if req.framed {
+				f.recordAnswer(req.traits)
+			} else {
+				f.probeServer(ctx, req, state, true)
+			}
 			return nil
 		}
 		if res == resultMayHaveRun && ctx.Err() == nil {
-			f.probeServer(ctx, req, state)
+			f.probeServer(ctx, req, state, false)
 		}
 		if ctx.Err() != nil {
 			return f.contextError(ctx, req)
--- a/waxfleet/waxforward/send.go
+++ b/waxfleet/waxforward/send.go
@@ -67,7 +67,7 @@
 	if timer != nil {
 		timer.Stop()
 	}
-	req.headerAt = f.opts.Clock.Now()
+	req.headerAt, req.framed = f.opts.Clock.Now(), resp.Framed()
 	release()
 	f.servers.recordActivity(req.entry)
 	if resp.Head.NotRun || resp.Head.Misdirected {
--- a/waxfleet/waxforward/suspect.go
+++ b/waxfleet/waxforward/suspect.go
@@ -80,9 +80,10 @@
 	return req.traits
 }
 
-// probeServer probes a server in the background after its connection failed during the
-// request. It records a crash if the server is unreachable.
-func (f *Forwarder) probeServer(ctx context.Context, req *requestState, state *serverState) {
+// probeServer probes a server in the background after its connection failed or ended during
+// the request. It records a crash if the server is unreachable. Otherwise it records an
+// answer if the response seemed complete.
+func (f *Forwarder) probeServer(ctx context.Context, req *requestState, state *serverState, complete bool) {
 	id, digest, entry := req.inbound.ID, req.digest, req.entry
 	sentAt, diedAt := req.sentAt, f.opts.Clock.Now()
 	traits, parts := req.suspectTraits(diedAt), sharedPartIDs(req.inbound.PromptParts)
@@ -95,6 +96,9 @@
 		conn, err := state.pool.Get(ctx)
 		if err == nil {
 			conn.Discard()
+			if complete {
+				f.recordAnswer(req.traits)
+			}
 			return
 		}
 		if waxfleet.CodeOf(err) != waxfleet.CodePeerUnreachable {
