waxlimit: keep to the limits that engines name

What callers saw: a back end in need got far more requests than it had said it takes, and answered slowly.

Cause: nobody read Server-Limit; the adapter did not know the field. Loads alone decided who gets a request.

Change: the adapter decodes the limit. waxlimit keeps the latest statement of each server incarnation and tells the other instances, so that they keep to it before an answer reached them, and leave it when a later answer names none. waxquota divides the limit into equal shares with a burst of one; their sum stays below one and a half times the limit and five in 4 s. waxpick passes over a server without a token. When limits leave none, the request is refused at once with the time until the next token.

--- a/waxfleet/protocol.go
+++ b/waxfleet/protocol.go
@@ -69,6 +69,11 @@
 	IdleTimeout Millis
 	// Close reports that the server closes the connection after this response.
 	Close bool
+	// RateLimit is the number of requests per second that the server takes from the whole
+	// fleet, for as long as its responses say so. Limited is false when the response names
+	// none.
+	RateLimit float64
+	Limited   bool
 }
 
 // Protocol translates between HTTP headers and the types of this package. It makes
--- a/waxfleet/waxforward/forwarder.go
+++ b/waxfleet/waxforward/forwarder.go
@@ -21,6 +21,7 @@
 	"waxwingdrift.org/waxfleet/waxcrash"
 	"waxwingdrift.org/waxfleet/waxdirectory"
 	"waxwingdrift.org/waxfleet/waxfresh"
+	"waxwingdrift.org/waxfleet/waxlimit"
 	"waxwingdrift.org/waxfleet/waxpeer"
 	"waxwingdrift.org/waxfleet/waxtable"
 )
@@ -49,13 +50,15 @@
 	Directory  *waxdirectory.Directory
 	Loads      *waxpeer.Loads
 	CacheIndex *waxcache.Index
+	// Limits holds the rate limits that backend servers name.
+	Limits *waxlimit.Limits
 	// Crashes decides which requests would crash their servers.
 	Crashes *waxcrash.Ledger
 	// InstancesUnreachable reports whether no router instance of a failure domain was
 	// heard from recently.
 	InstancesUnreachable func(domain string) bool
-	// FlushUpdates is called when the prefix cache table or the crash ledger has updates
-	// for other instances.
+	// FlushUpdates is called when the prefix cache table, the crash ledger or the rate
+	// limits have updates for other instances.
 	FlushUpdates func()
 	Freshness    *waxfresh.Freshness
 	Servers      *Servers
@@ -130,8 +133,12 @@
 	// runsAtCheck is the value of runs at the last check for bans, or -1. Each send that
 	// may have run is followed by another check.
 	runsAtCheck int
-	// retryAfter is the Retry-After delay of a banned request.
+	// retryAfter is the Retry-After delay of a request that is refused; 0 for the default
+	// of its result code.
 	retryAfter waxfleet.Millis
+	// rateDelay is the time until the rate limit of some server allows a request from this
+	// instance; -1 if none would.
+	rateDelay waxfleet.Millis
 	// sentAt, headerAt and firstEventAt are the times at which the last send began and at
 	// which its response header and its first event arrived; the latter two are 0 until
 	// then.
--- a/waxfleet/waxforward/retry.go
+++ b/waxfleet/waxforward/retry.go
@@ -9,6 +9,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxpick"
 )
 
 // minRetryTimeout is the minimum time until the deadline for a retry.
@@ -52,6 +53,9 @@
 		}
 		state, choice := f.selectServer(req)
 		if state == nil {
+			if choice.Reason == waxpick.ReasonColdRate {
+				req.retryAfter = rateRetryAfter(req.rateDelay)
+			}
 			return f.noServerError(req, string(choice.Reason), last)
 		}
 		id := req.entry.Server().ID()
@@ -192,11 +196,22 @@
 	return err
 }
 
+// rateRetryAfter returns the Retry-After delay of a request that no rate limit allows. delay
+// is the time until one does at this instance, or -1. Other instances have shares of their
+// own, so that a caller may come back earlier than after a long delay.
+func rateRetryAfter(delay waxfleet.Millis) waxfleet.Millis {
+	if delay < 0 {
+		return retryAfterOverloadDelay
+	}
+	return min(max(delay, retryAfterStaleDelay), maxRateRetryAfter)
+}
+
 // retryAfterDelay returns the Retry-After delay of a refused request.
 func retryAfterDelay(req *requestState, code waxfleet.Code) waxfleet.Millis {
-	switch code {
-	case waxfleet.CodePromptBanned:
+	if req.retryAfter > 0 {
 		return req.retryAfter
+	}
+	switch code {
 	case waxfleet.CodeConfigStale, waxfleet.CodeConfigUnavailable, waxfleet.CodeStopping:
 		// Another instance may be able to serve the request at once.
 		return retryAfterStaleDelay
@@ -207,6 +222,8 @@
 const (
 	// retryAfterStaleDelay applies if another instance may be able to serve the request.
 	retryAfterStaleDelay waxfleet.Millis = 50
+	// maxRateRetryAfter bounds the delay if rate limits are used up.
+	maxRateRetryAfter waxfleet.Millis = 1_000
 	// retryAfterOverloadDelay applies if the backend servers are busy.
 	retryAfterOverloadDelay waxfleet.Millis = 300
 )
--- a/waxfleet/waxforward/select.go
+++ b/waxfleet/waxforward/select.go
@@ -8,6 +8,13 @@
 	"waxwingdrift.org/waxfleet/waxquota"
 )
 
+// The bound on the requests to a server that names a rate limit.
+const (
+	limitFactor                 = 1.5
+	limitSlack                  = 5
+	limitWindow waxfleet.Millis = 4_000
+)
+
 // Bounds holds the configured limits on what the whole fleet sends.
 type Bounds struct {
 	Retry         waxquota.RetryBound
@@ -33,12 +40,14 @@
 	counts := f.opts.Loads.Counts()
 	cached := f.opts.CacheIndex.CachedTokens(req.promptKey)
 	known, cold := make(map[string]*serverState, len(servers)), map[string]bool{}
+	req.rateDelay = -1
 	candidates := make([]waxpick.Candidate, 0, len(servers))
 	unreachable := map[string]bool{}
 	for _, server := range servers {
 		state := f.servers.serverState(server.Entry(), connections)
 		known[server.ID()] = state
 		candidate := f.candidate(server, state, svc, spec, instances, now)
+		f.applyLimit(req, &candidate, state, instances, now)
 		candidate.Degraded = candidate.Degraded || f.domainUnreachable(candidate.FailureDomain, unreachable, now)
 		others := counts[waxpeer.ServerHash(server.ID())]
 		candidate.Load = state.inFlight + others.InFlight
@@ -63,6 +72,10 @@
 		rate, burst := f.coldShare(spec, choice.ID, instances)
 		state.coldBucket.Take(now, rate, burst)
 	}
+	if perSecond, limited := f.opts.Limits.Limit(state.incarnationHash); limited {
+		rate, burst := f.limitShare(perSecond, choice.ID, instances)
+		state.limitBucket.Take(now, rate, burst)
+	}
 	state.inFlight++
 	f.servers.domainState(state.entry.Server().FailureDomain()).health.RecordSent(now)
 	req.entry = state.entry
@@ -151,6 +164,28 @@
 	return waxquota.ColdShare(bound, id, f.opts.Instance, instances)
 }
 
+// limitShare returns this instance's share of the rate limit that a server names, in
+// requests per second, and its burst, in requests.
+func (f *Forwarder) limitShare(perSecond float64, id string, instances []string) (float64, int) {
+	bound := waxquota.LimitBound{PerSecond: perSecond, Factor: limitFactor, Slack: limitSlack, Window: limitWindow}
+	return waxquota.LimitShare(bound, id, f.opts.Instance, instances)
+}
+
+// applyLimit sets OverLimit of a candidate, and shortens req.rateDelay to the time until
+// its rate limit allows a request. The caller holds the lock.
+func (f *Forwarder) applyLimit(req *requestState, c *waxpick.Candidate, state *serverState, instances []string, now waxfleet.Millis) {
+	perSecond, limited := f.opts.Limits.Limit(state.incarnationHash)
+	if !limited {
+		return
+	}
+	rate, burst := f.limitShare(perSecond, c.ID, instances)
+	wait := state.limitBucket.Wait(now, rate, burst)
+	c.OverLimit = wait != 0
+	if wait > 0 && (req.rateDelay < 0 || wait < req.rateDelay) {
+		req.rateDelay = wait
+	}
+}
+
 // connectionShare returns this instance's share of the connection limit of a
 // server.
 func (f *Forwarder) connectionShare(spec waxfleet.ServiceSpec) int {
--- a/waxfleet/waxforward/send.go
+++ b/waxfleet/waxforward/send.go
@@ -70,6 +70,7 @@
 	req.headerAt, req.framed = f.opts.Clock.Now(), resp.Framed()
 	release()
 	f.servers.recordActivity(req.entry)
+	f.recordLimit(state, resp)
 	if resp.Head.NotRun || resp.Head.Misdirected {
 		req.runs--
 		f.releaseRejected(conn, resp)
@@ -86,6 +87,16 @@
 	return res, err
 }
 
+// recordLimit records the rate limit that the server names, or no longer names.
+func (f *Forwarder) recordLimit(state *serverState, resp *waxpool.Response) {
+	if resp.Head.Misdirected || !f.opts.Limits.Record(state.incarnationHash, resp.Head.RateLimit, resp.Head.Limited) {
+		return
+	}
+	f.opts.FlushUpdates()
+	f.opts.Log.Info("backend server names another rate limit", "server", state.entry.Server().ID(),
+		"limited", resp.Head.Limited, "per-second", resp.Head.RateLimit)
+}
+
 // errServerTimeout is the cause that cancels a send whose response timed out.
 var errServerTimeout = errors.New("timed out waiting for the backend server")
 
--- a/waxfleet/waxforward/server.go
+++ b/waxfleet/waxforward/server.go
@@ -6,6 +6,7 @@
 	"waxwingdrift.org/waxfleet"
 	"waxwingdrift.org/waxfleet/waxcache"
 	"waxwingdrift.org/waxfleet/waxdirectory"
+	"waxwingdrift.org/waxfleet/waxlimit"
 	"waxwingdrift.org/waxfleet/waxpeer"
 	"waxwingdrift.org/waxfleet/waxpick"
 	"waxwingdrift.org/waxfleet/waxpool"
@@ -23,7 +24,9 @@
 	// have not started.
 	pendingTokens int
 	coldBucket    waxquota.TokenBucket
-	health        waxpick.Health
+	// limitBucket holds this instance's share of the rate limit that the server names.
+	limitBucket waxquota.TokenBucket
+	health      waxpick.Health
 }
 
 // serviceState is the local state of a service.
@@ -87,13 +90,14 @@
 
 // Prune drops idle servers that are no longer in the directory, and closes
 // expired idle connections of the others.
-func (s *Servers) Prune(d *waxdirectory.Directory, cacheIndex *waxcache.Index) {
+func (s *Servers) Prune(d *waxdirectory.Directory, cacheIndex *waxcache.Index, limits *waxlimit.Limits) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, state := range s.servers {
 		if !d.Known(id, state.entry.StartUnixMilli()) && state.inFlight == 0 {
 			state.pool.Close()
 			cacheIndex.Remove(state.incarnationHash)
+			limits.Remove(state.incarnationHash)
 			delete(s.servers, id)
 			continue
 		}
--- a/waxfleet/waxfront/instance.go
+++ b/waxfleet/waxfront/instance.go
@@ -24,6 +24,7 @@
 	"waxwingdrift.org/waxfleet/waxforward"
 	"waxwingdrift.org/waxfleet/waxfresh"
 	"waxwingdrift.org/waxfleet/waxgossip"
+	"waxwingdrift.org/waxfleet/waxlimit"
 	"waxwingdrift.org/waxfleet/waxmetric"
 	"waxwingdrift.org/waxfleet/waxpeer"
 	"waxwingdrift.org/waxfleet/waxplace"
@@ -81,6 +82,7 @@
 	loads        *waxpeer.Loads
 	cacheIndex   *waxcache.Index
 	crashes      *waxcrash.Ledger
+	limits       *waxlimit.Limits
 	exchanger    *waxpeer.Exchanger
 	replicas     *replicaSet
 	forwarder    *waxforward.Forwarder
@@ -123,6 +125,7 @@
 	inst.loads = waxpeer.NewLoads(opts.Clock, settings.FailureDomain)
 	inst.cacheIndex = waxcache.NewIndex()
 	inst.crashes = waxcrash.New(opts.Clock, inst.trialRank)
+	inst.limits = waxlimit.New(opts.Clock)
 	inst.metrics = newMetrics(ctx, settings.Instance)
 	tracers, err := waxmetric.NewTracer(ctx, settings.Instance, opts.TraceWriter)
 	if err != nil {
@@ -139,6 +142,7 @@
 		Loads:                inst.loads,
 		CacheIndex:           inst.cacheIndex,
 		Crashes:              inst.crashes,
+		Limits:               inst.limits,
 		InstancesUnreachable: func(domain string) bool { return inst.exchanger.InstancesUnreachable(domain) },
 		FlushUpdates:         func() { inst.exchanger.Flush() },
 		Freshness:            inst.freshness,
@@ -161,6 +165,7 @@
 		Counts:         inst.servers.Counts,
 		CacheIndex:     inst.cacheIndex,
 		Crashes:        inst.crashes,
+		Limits:         inst.limits,
 		Revisions:      inst.replicas.changeRevisions,
 		StoreReachable: func() bool { return inst.replicas.storeReachable() && inst.table.Load() != nil },
 	})
@@ -309,7 +314,7 @@
 func (inst *Instance) sweep(ctx context.Context) {
 	for inst.opts.Clock.Sleep(ctx, sweepInterval) == nil {
 		inst.logServers(inst.directory.Sweep(), "missing after the outage of the store")
-		inst.servers.Prune(inst.directory, inst.cacheIndex)
+		inst.servers.Prune(inst.directory, inst.cacheIndex, inst.limits)
 		inst.checkRegistered()
 		inst.metrics.updateGauges(inst.forwarder.Active(), inst.directory.Count(), inst.opts.DroppedLogLines())
 	}
--- a/waxfleet/waxpeer/exchanger.go
+++ b/waxfleet/waxpeer/exchanger.go
@@ -15,6 +15,7 @@
 	"waxwingdrift.org/waxfleet/waxcache"
 	"waxwingdrift.org/waxfleet/waxcrash"
 	"waxwingdrift.org/waxfleet/waxgossip"
+	"waxwingdrift.org/waxfleet/waxlimit"
 	"waxwingdrift.org/waxfleet/waxwire"
 )
 
@@ -53,11 +54,14 @@
 	// maxReports is the maximum number of crash reports in a datagram; each takes up to 35
 	// bytes. A crash brings up to four for each request that was beginning at the server.
 	maxReports = 36
-	// maxReportDatagrams is the maximum number of datagrams with crash reports that are
-	// sent at once.
+	// maxLimits is the maximum number of rate limits in a datagram; each takes up to 25
+	// bytes.
+	maxLimits = 40
+	// maxReportDatagrams is the maximum number of datagrams with crash reports, and of
+	// those with rate limits, that are sent at once.
 	maxReportDatagrams = 16
-	// snapshotSenders is the number of instances that send all cache entries and crash
-	// reports to a peer that has just started.
+	// snapshotSenders is the number of instances that send all cache entries, crash reports
+	// and rate limits to a peer that has just started.
 	snapshotSenders = 2
 )
 
@@ -74,6 +78,8 @@
 	StoreReachable func() bool
 	// CacheIndex records which engines have which prompt parts in their caches.
 	CacheIndex *waxcache.Index
+	// Limits holds the rate limits that backend servers name.
+	Limits *waxlimit.Limits
 	// Crashes holds the evidence about requests that crash backend servers.
 	Crashes *waxcrash.Ledger
 }
@@ -198,7 +204,8 @@
 	}
 	updated, changes := e.opts.Crashes.Merge(decodeReports(d), scope)
 	waxcrash.LogChanges(e.opts.Log, changes)
-	if (added || updated) && scope == waxgossip.ScopeGroup {
+	limitsChanged := e.opts.Limits.Merge(decodeLimits(d), scope)
+	if (added || updated || limitsChanged) && scope == waxgossip.ScopeGroup {
 		e.Flush()
 	}
 	if d.GetSequence() == 0 {
@@ -246,17 +253,43 @@
 	}
 }
 
-// sendReports sends the crash reports that are queued for the scope.
+// sendReports sends the crash reports and rate limits that are queued for the scope.
 func (e *Exchanger) sendReports(peers []Peer, scope waxgossip.Scope) {
 	for range maxReportDatagrams {
-		reports := e.opts.Crashes.NextReports(scope, maxReports)
-		if len(reports) == 0 {
+		reports, limits := e.opts.Crashes.NextReports(scope, maxReports), e.opts.Limits.Next(scope, maxLimits)
+		if len(reports) > 0 {
+			e.sendTo(peers, e.newReportsDatagram(reports, scope))
+		}
+		if len(limits) > 0 {
+			e.sendTo(peers, e.newLimitsDatagram(limits, scope))
+		}
+		if len(reports) == 0 && len(limits) == 0 {
 			return
 		}
-		e.sendTo(peers, e.newReportsDatagram(reports, scope))
 	}
 }
 
+// newLimitsDatagram returns a datagram with rate limits and without counts.
+func (e *Exchanger) newLimitsDatagram(limits []waxlimit.Statement, scope waxgossip.Scope) *waxwire.LoadDatagram {
+	d := e.newEntriesDatagram(nil, scope)
+	for _, s := range limits {
+		perSecond, limited := s.Limit()
+		d.RateLimits = append(d.RateLimits, &waxwire.RateLimit{
+			Server: s.Server(), Limited: limited, PerSecond: perSecond, AgoMs: int64(s.Ago()),
+		})
+	}
+	return d
+}
+
+// decodeLimits returns the rate limits of a datagram.
+func decodeLimits(d *waxwire.LoadDatagram) []waxlimit.Statement {
+	limits := make([]waxlimit.Statement, 0, len(d.GetRateLimits()))
+	for _, v := range d.GetRateLimits() {
+		limits = append(limits, waxlimit.NewStatement(v.GetServer(), v.GetPerSecond(), v.GetLimited(), waxfleet.Millis(v.GetAgoMs())))
+	}
+	return limits
+}
+
 // newReportsDatagram returns a datagram with crash reports and without counts.
 func (e *Exchanger) newReportsDatagram(reports []waxcrash.Report, scope waxgossip.Scope) *waxwire.LoadDatagram {
 	d := e.newEntriesDatagram(nil, scope)
@@ -342,6 +375,7 @@
 		entries := e.opts.CacheIndex.NextUpdates(waxgossip.ScopeRemote, maxEntries)
 		if !t.Gateway || len(t.Remote) == 0 {
 			e.opts.Crashes.NextReports(waxgossip.ScopeRemote, maxReports*maxReportDatagrams)
+			e.opts.Limits.Next(waxgossip.ScopeRemote, maxLimits*maxReportDatagrams)
 			continue
 		}
 		e.sendReports(t.Remote, waxgossip.ScopeRemote)
@@ -367,8 +401,8 @@
 	}
 }
 
-// sendSnapshot sends all cache entries and crash reports to an instance that has just
-// started, if this instance is among its snapshotSenders.
+// sendSnapshot sends all cache entries, crash reports and rate limits to an instance that
+// has just started, if this instance is among its snapshotSenders.
 func (e *Exchanger) sendSnapshot(instance uint64) {
 	var to *Peer
 	rank := 0
@@ -390,6 +424,9 @@
 	for reports := range slices.Chunk(e.opts.Crashes.All(), maxReports) {
 		e.sendTo([]Peer{*to}, e.newReportsDatagram(reports, waxgossip.ScopeGroup))
 	}
+	for limits := range slices.Chunk(e.opts.Limits.All(), maxLimits) {
+		e.sendTo([]Peer{*to}, e.newLimitsDatagram(limits, waxgossip.ScopeGroup))
+	}
 }
 
 // newDatagram returns a datagram with the cache entries and the feed revisions. Receivers ignore the counts of a datagram without a sequence number.
--- a/waxfleet/waxpeer/peer_test.go
+++ b/waxfleet/waxpeer/peer_test.go
@@ -16,6 +16,7 @@
 	"waxwingdrift.org/waxfleet/waxcache"
 	"waxwingdrift.org/waxfleet/waxcrash"
 	"waxwingdrift.org/waxfleet/waxgossip"
+	"waxwingdrift.org/waxfleet/waxlimit"
 	"waxwingdrift.org/waxfleet/waxwire"
 )
 
@@ -81,7 +82,7 @@
 
 // TestExchange guards against instances that do not receive each other's counts and cache
 // entries, and against an instance that starts late and does not receive earlier cache
-// entries and crash reports.
+// entries, crash reports and rate limits.
 func TestExchange(t *testing.T) {
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -94,8 +95,15 @@
 	for server := range uint64(2) {
 		crashes["r1"].RecordCrash(server+1, []waxcrash.Trait{bad}, clock.Now(), clock.Now())
 	}
-	for range 10 {
-		crashes["r1"].NextReports(waxgossip.ScopeGroup, 10) // sent before the other instance started
+	limits := map[string]*waxlimit.Limits{"r1": waxlimit.New(clock), "r2": waxlimit.New(clock)}
+	limits["r1"].Record(7, 2.5, true)
+	for range 10 { // sent before the other instance started
+		crashes["r1"].NextReports(waxgossip.ScopeGroup, 10)
+		limits["r1"].Next(waxgossip.ScopeGroup, 10)
+	}
+	limitAtSecond := func() float64 {
+		perSecond, _ := limits["r2"].Limit(7)
+		return perSecond
 	}
 	start := func(name string, cacheIndex *waxcache.Index, inFlight int) *Loads {
 		loads := NewLoads(clock, "caerdydd")
@@ -108,6 +116,7 @@
 			StoreReachable: func() bool { return name == "r1" },
 			CacheIndex:     cacheIndex,
 			Crashes:        crashes[name],
+			Limits:         limits[name],
 		})
 		is.NoErr(err)
 		e.SetPeers([]Peer{{
@@ -129,7 +138,7 @@
 	first := start("r1", early, 2)
 	second := start("r2", late, 5)
 	deadline := time.Now().Add(20 * time.Second)
-	for late.CachedTokens(key)[7] != 500 || crashes["r2"].Crashes(bad) != 2 || !second.StoreReachable() || first.Counts()[ServerHash("e1")].InFlight != 5 || second.Counts()[ServerHash("e1")].InFlight != 2 {
+	for late.CachedTokens(key)[7] != 500 || crashes["r2"].Crashes(bad) != 2 || limitAtSecond() != 2.5 || !second.StoreReachable() || first.Counts()[ServerHash("e1")].InFlight != 5 || second.Counts()[ServerHash("e1")].InFlight != 2 {
 		if time.Now().After(deadline) {
 			t.Fatalf("cached %v, counts %v and %v", late.CachedTokens(key), first.Counts(), second.Counts())
 		}
@@ -160,7 +169,7 @@
 			Counts:         func() map[uint32]ServerLoad { return nil },
 			Revisions:      func() []uint64 { return nil },
 			StoreReachable: func() bool { return true },
-			CacheIndex:     indexes[self.Name], Crashes: ledgers[self.Name],
+			CacheIndex:     indexes[self.Name], Crashes: ledgers[self.Name], Limits: waxlimit.New(clock),
 		})
 		is.NoErr(err)
 		e.SetPeers(peers)
--- a/waxfleet/waxpick/pick.go
+++ b/waxfleet/waxpick/pick.go
@@ -30,6 +30,9 @@
 	// set: the rate limit for cold servers then allows one more.
 	Cold           bool
 	WithinColdRate bool
+	// OverLimit is set if the server names a rate limit, and this instance's share of it
+	// allows no request at present.
+	OverLimit bool
 	// Down is set while connections to the server fail.
 	Down bool
 	// Degraded is set if the server may have stopped or fails more often than its
@@ -37,6 +40,9 @@
 	Degraded bool
 }
 
+// overRate reports whether a rate limit allows no request to the server at present.
+func (c Candidate) overRate() bool { return c.OverLimit || c.Cold && !c.WithinColdRate }
+
 // Reason says why a server, or none, was chosen. It appears in logs.
 type Reason string
 
@@ -60,8 +66,8 @@
 	// ReasonFull means that the queues of the eligible servers are too long for a
 	// response in time.
 	ReasonFull Reason = "full"
-	// ReasonColdRate means that only cold servers are left and their rate limit
-	// is used up.
+	// ReasonColdRate means that only servers are left whose rate limit, for cold ones or
+	// as they name it, is used up.
 	ReasonColdRate Reason = "paced"
 )
 
@@ -169,7 +175,7 @@
 	order := rendezvousOrder(p.Hash, candidates)
 	best, bestCost := -1, 0.0
 	for i, c := range order {
-		if c.Down || c.Degraded || excluded[c.ID] || c.Cold && !c.WithinColdRate || c.Load > limit {
+		if c.Down || c.Degraded || excluded[c.ID] || c.overRate() || c.Load > limit {
 			continue
 		}
 		if cost := estimatedWait(p, c, i); best < 0 || cost < bestCost {
@@ -208,7 +214,7 @@
 		if c.Down || excluded[c.ID] {
 			continue
 		}
-		if c.Cold && !c.WithinColdRate {
+		if c.overRate() {
 			choice.Reason = ReasonColdRate
 			continue
 		}
@@ -251,7 +257,13 @@
 	hash := xxhash.Sum64String(key)
 	best, bestCost, bestWeight := -1, 0, uint64(0)
 	for i, c := range candidates {
-		if c.Down || excluded[c.ID] || c.Cold && !c.WithinColdRate {
+		if c.Down || excluded[c.ID] {
+			continue
+		}
+		if c.overRate() {
+			if choice.Reason == ReasonNone {
+				choice.Reason = ReasonColdRate
+			}
 			continue
 		}
 		if c.Slots > 0 && c.Load >= c.Slots*maxLoadPerSlot {
--- a/waxfleet/waxpick/pick_test.go
+++ b/waxfleet/waxpick/pick_test.go
@@ -33,7 +33,7 @@
 }
 
 // parseCandidates parses lines of the form "id load=n pending=n cached=n
-// slots=n domain=name down|doubtful|cold|paced|excluded". doubtful sets
+// slots=n domain=name down|doubtful|cold|paced|over-limit|excluded". doubtful sets
 // Degraded, and paced sets Cold and WithinColdRate.
 func parseCandidates(t *testing.T, input string) ([]Candidate, map[string]bool) {
 	t.Helper()
@@ -72,6 +72,8 @@
 				c.Cold = true
 			case "paced":
 				c.Cold, c.WithinColdRate = true, true
+			case "over-limit":
+				c.OverLimit = true
 			case "excluded":
 				excluded[c.ID] = true
 			default:
@@ -102,9 +104,10 @@
 				Cold:           rapid.Bool().Draw(rt, "cold"),
 				WithinColdRate: rapid.Bool().Draw(rt, "paced"),
 				Degraded:       rapid.Bool().Draw(rt, "doubtful"),
+				OverLimit:      rapid.Bool().Draw(rt, "over-limit"),
 			}
 			excluded[c.ID] = rapid.Bool().Draw(rt, "excluded")
-			allowed[c.ID] = !c.Down && !excluded[c.ID] && (!c.Cold || c.WithinColdRate)
+			allowed[c.ID] = !c.Down && !excluded[c.ID] && (!c.Cold || c.WithinColdRate) && !c.OverLimit
 			candidates[i] = c
 		}
 		anyAllowed := false
--- a/waxfleet/waxquota/shares.go
+++ b/waxfleet/waxquota/shares.go
@@ -47,6 +47,38 @@
 	return rate, 1
 }
 
+// LimitBound limits the requests to a backend server that names a rate limit: at most
+// PerSecond x Factor x Window + Slack in any Window, from the whole fleet.
+type LimitBound struct {
+	PerSecond float64
+	Factor    float64
+	Slack     float64
+	Window    waxfleet.Millis
+}
+
+// minLimit is the lowest rate, in requests per second, that LimitShare divides. Only the
+// response to a request shows that a server takes more again.
+const minLimit = 0.25
+
+// LimitShare returns the rate, in requests per second, and the burst, in requests, of one
+// instance's token bucket for a backend server that names a rate limit. Together the
+// instances send what the server takes, and bursts stay within the bound. As with
+// ColdShare, only some instances of a large fleet get a share.
+func LimitShare(b LimitBound, server, instance string, instances []string) (perSecond float64, burst int) {
+	n := len(instances)
+	if n == 0 {
+		return 0, 0
+	}
+	b.PerSecond = max(b.PerSecond, minLimit)
+	inWindow := b.PerSecond * float64(b.Window) / 1000
+	bursts := math.Floor(inWindow*(b.Factor-1) + b.Slack - 1)
+	sharers := int(min(float64(n), max(1, bursts)))
+	if sharers < n && !amongFirst(server, instance, instances, sharers) {
+		return 0, 0
+	}
+	return b.PerSecond / float64(sharers), 1
+}
+
 // amongFirst reports whether the instance is one of the first n in the
 // rendezvous order of the server.
 func amongFirst(server, instance string, instances []string, n int) bool {
@@ -97,6 +129,17 @@
 	return b.tokens >= 1
 }
 
+// Wait returns the time until the bucket has a token; -1 if it never will.
+func (b *TokenBucket) Wait(now waxfleet.Millis, perSecond float64, burst int) waxfleet.Millis {
+	if b.HasToken(now, perSecond, burst) {
+		return 0
+	}
+	if perSecond <= 0 {
+		return -1
+	}
+	return waxfleet.Millis(math.Ceil((1 - b.tokens) / perSecond * 1000))
+}
+
 // RetryBound limits the retries of requests to a service by the whole fleet: at
 // most Ratio x requests + Slack in any Window.
 type RetryBound struct {
--- a/waxfleet/waxquota/shares_test.go
+++ b/waxfleet/waxquota/shares_test.go
@@ -120,3 +120,47 @@
 		}
 	})
 }
+
+// TestLimitSharesStayBelowTheBound guards against a backend server that gets far more than
+// the limit that it names although each instance keeps to its share.
+func TestLimitSharesStayBelowTheBound(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 420).Draw(rt, "instances")
+		b := LimitBound{PerSecond: rapid.Float64Range(0, 60).Draw(rt, "per-second"), Factor: 1.5, Slack: 5, Window: 4_000}
+		all := instanceNames(n)
+		inWindow, perSecond := 0.0, 0.0
+		for _, instance := range all {
+			rate, burst := LimitShare(b, "engine-1", instance, all)
+			inWindow += rate*4 + float64(burst)
+			perSecond += rate
+		}
+		if bound := b.PerSecond*b.Factor*4 + b.Slack; inWindow > bound {
+			rt.Fatalf("%d instances may send %.2f in 4 s; the bound is %.2f", n, inWindow, bound)
+		}
+		if perSecond < 0.99*b.PerSecond {
+			rt.Fatalf("%d instances may send %.2f a second of %.2f", n, perSecond, b.PerSecond)
+		}
+	})
+}
+
+// TestWait guards against a Retry-After that ends before the bucket has a token, or that
+// never ends.
+func TestWait(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		rate := rapid.Float64Range(0.01, 20).Draw(rt, "rate")
+		now := waxfleet.Millis(1_000)
+		var b TokenBucket
+		for range 5 {
+			now += waxfleet.Millis(rapid.IntRange(0, 400).Draw(rt, "step"))
+			b.Take(now, rate, 1)
+		}
+		wait := b.Wait(now, rate, 1)
+		if !b.HasToken(now+wait+1, rate, 1) {
+			rt.Fatalf("no token after %d ms at %.3f a second", wait, rate)
+		}
+	})
+	is := is.New(t)
+	var b TokenBucket
+	b.Take(1, 1, 1)
+	is.Equal(b.Wait(1, 0, 1), waxfleet.Millis(-1))
+}
