waxforward: do not take a cut network for crashes under a prompt part

What callers would see: prompts with a part that many share refused with 2014.

Cause: two faults of the fix itself. Instances behind the cut saw each connection reset and each engine refuse, so that sends that failed within 2 ms counted as independent crashes. And the entry with the ban was composed once and then retried until the cut healed, long after the ban was lifted; the registry brought it back after the restart.

Change: the parts of a prompt count only if the answer may have been beginning, that is after the head or 20 ms after the send, and only if the server's machine refuses. The entry is composed anew for each attempt. A trait that was answered before its crashes is tried again after 10 s and not 90. The line 'backend server died' prints the traits.

--- a/waxfleet/waxcrash/ledger.go
+++ b/waxfleet/waxcrash/ledger.go
@@ -22,8 +22,8 @@
 	banThresholdAnswered = 4
 	// answerTTL is the time for which an answer is remembered.
 	answerTTL waxfleet.Millis = 60_000
-	// minTrialDelay is the time after the second crash at which a banned trait is tried
-	// again, because a ban may be wrong and only an answer lifts it. Each further crash
+	// minTrialDelay is the time after the crash that led to a ban at which the trait is
+	// tried again, because a ban may be wrong and only an answer lifts it. Each further crash
 	// triples it, up to maxTrialDelay.
 	minTrialDelay waxfleet.Millis = 10_000
 	maxTrialDelay waxfleet.Millis = 600_000
--- a/waxfleet/waxcrash/record.go
+++ b/waxfleet/waxcrash/record.go
@@ -93,7 +93,7 @@
 			total++
 		}
 	}
-	delay := waxfleet.Millis(min(float64(minTrialDelay)*math.Pow(3, float64(independent-banThreshold)), float64(maxTrialDelay)))
+	delay := waxfleet.Millis(min(float64(minTrialDelay)*math.Pow(3, float64(independent-r.banThreshold())), float64(maxTrialDelay)))
 	if total >= manyCrashes {
 		return max(delay, manyCrashesDelay)
 	}
--- a/waxfleet/waxforward/suspect.go
+++ b/waxfleet/waxforward/suspect.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
+	"syscall"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -18,6 +20,9 @@
 	// beginPeriod is the time from the first event of an answer during which the answer
 	// counts as beginning. A part of a prompt that crashes engines does so before its end.
 	beginPeriod waxfleet.Millis = 500
+	// minBeginDelay is the time within which no engine reads a prompt and begins to answer
+	// it. A send that fails sooner met a connection that was already cut.
+	minBeginDelay waxfleet.Millis = 20
 )
 
 // requestDigest returns a hash of the parts of a request that stay the same when its
@@ -70,16 +75,22 @@
 	return err
 }
 
-// suspectTraits returns the traits of a request whose server died at a time during the
-// last send. An answer that had been going on for beginPeriod clears the parts of the
-// prompt.
-func (req *requestState) suspectTraits(diedAt waxfleet.Millis) []waxcrash.Trait {
-	if req.firstEventAt > 0 && diedAt-req.firstEventAt >= beginPeriod {
+// suspectTraits returns the traits of a request whose server was lost at a time during the
+// last send. The parts of its prompt count only if the answer may have been beginning: not
+// right after the send, and not once it had been going on for beginPeriod.
+func (req *requestState) suspectTraits(lostAt waxfleet.Millis) []waxcrash.Trait {
+	tooEarly := req.headerAt == 0 && lostAt-req.sentAt < minBeginDelay
+	tooLate := req.firstEventAt > 0 && lostAt-req.firstEventAt >= beginPeriod
+	if tooEarly || tooLate {
 		return req.traits[len(req.traits)-1:]
 	}
 	return req.traits
 }
 
+// refused reports whether a connection attempt was refused: the machine is there, and the
+// server is not. Otherwise the network may have been cut.
+func refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // probeServer probes a server in the background after its connection failed or ended during
 // the request. It records a crash if the server is unreachable. Otherwise it records an
 // answer if the response seemed complete.
@@ -104,11 +115,14 @@
 		if waxfleet.CodeOf(err) != waxfleet.CodePeerUnreachable {
 			return
 		}
+		if !refused(err) {
+			traits = traits[len(traits)-1:]
+		}
 		incarnation := xxhash.Sum64String(entry.Server().ID() + "/" + strconv.FormatInt(entry.StartUnixMilli(), 10))
 		changes := f.opts.Crashes.RecordCrash(max(incarnation, 1), traits, sentAt, diedAt)
 		f.opts.FlushUpdates()
 		f.opts.Log.Warn("backend server died", "request", id, "server", entry.Server().ID(),
-			"digest", digest, "parts", parts, "traits", traits,
+			"digest", digest, "parts", parts, "traits", traitNames(traits), "refused", refused(err),
 			"sent-ms", int64(diedAt-sentAt), "header-ms", int64(sinceHeader), "event-ms", int64(sinceEvent))
 		waxcrash.LogChanges(f.opts.Log, changes)
 	}()
@@ -137,6 +151,15 @@
 	}
 }
 
+// traitNames returns the traits in the form that appears in logs.
+func traitNames(traits []waxcrash.Trait) []string {
+	names := make([]string, len(traits))
+	for i, t := range traits {
+		names[i] = t.String()
+	}
+	return names
+}
+
 // sinceIfSet returns the time from at to now, or -1 if at is 0.
 func sinceIfSet(now, at waxfleet.Millis) waxfleet.Millis {
 	if at == 0 {
--- a/waxfleet/waxfront/instance.go
+++ b/waxfleet/waxfront/instance.go
@@ -347,8 +347,8 @@
 			return
 		case <-inst.unregistered:
 		}
-		entry := inst.registryEntry()
 		for delay := minRegisterDelay; !inst.stopping.Load(); delay = min(delay*2, maxRegisterDelay) {
+			entry := inst.registryEntry()
 			callCtx, cancel := context.WithTimeout(ctx, registryTimeout)
 			err := inst.opts.Store.Peers().Register(callCtx, inst.opts.Settings.Instance, entry)
 			cancel()
