--- a/waxfleet/waxpeer/exchanger.go
+++ b/waxfleet/waxpeer/exchanger.go
@@ -223,7 +223,7 @@
 	var lastAt waxfleet.Millis
 	for e.waitInterval(ctx, groupSendInterval(len(e.Topology().Group))) {
 		group := e.Topology().Group
-		e.sendReports(group, waxgossip.ScopeGroup)
+		e.sendQueued(group, waxgossip.ScopeGroup)
 		counts, revisions := e.opts.Counts(), e.opts.Revisions()
 		entries := e.opts.CacheIndex.NextUpdates(waxgossip.ScopeGroup, maxEntries)
 		relayed := e.loads.relayCounts()
@@ -253,8 +253,8 @@
 	}
 }
 
-// sendReports sends the crash reports and rate limits that are queued for the scope.
-func (e *Exchanger) sendReports(peers []Peer, scope waxgossip.Scope) {
+// sendQueued sends the crash reports and rate limits that are queued for the scope.
+func (e *Exchanger) sendQueued(peers []Peer, scope waxgossip.Scope) {
 	for range maxReportDatagrams {
 		reports, limits := e.opts.Crashes.NextReports(scope, maxReports), e.opts.Limits.Next(scope, maxLimits)
 		if len(reports) > 0 {
@@ -378,7 +378,7 @@
 			e.opts.Limits.Next(waxgossip.ScopeRemote, maxLimits*maxReportDatagrams)
 			continue
 		}
-		e.sendReports(t.Remote, waxgossip.ScopeRemote)
+		e.sendQueued(t.Remote, waxgossip.ScopeRemote)
 		d := e.newDatagram(entries, true)
 		d.Domains = []*waxwire.Counts{e.loads.domainTotal(e.opts.Counts())}
 		e.sendTo(t.Remote, d)
