waxforward: log the framing of answers and the last event passed on

The hypotheses differ in whether the answer of the engine had a length or chunks, and in where it ended; neither was in the logs. 'request ended', 'request failed' and 'send failed' now have framed and last-event. TestWholePath and TestOperations pass.

--- a/waxfleet/waxforward/forwarder.go
+++ b/waxfleet/waxforward/forwarder.go
@@ -143,7 +143,7 @@
 	// which its response header and its first event arrived; the latter two are 0 until
 	// then.
 	sentAt, headerAt, firstEventAt waxfleet.Millis
-	// framed is true if the response to the last send marks its end.
+	// framed is true if the response to the last send marks its end with a length or chunks.
 	framed bool
 	// partsCleared is true once the answer shows that the parts of the prompt do not crash
 	// servers.
@@ -315,7 +315,7 @@
 	attrs := []any{
 		"request", req.inbound.ID, "route", req.route.Name(), "service", req.service, "workspace", req.workspace.Name,
 		"server", req.entry.Server().ID(), "sends", req.sends, "runs", req.runs, "code", int(code), "outcome", code.Name(),
-		"status", req.response.status, "first-byte-ms", int64(req.response.timeToHeader(req.arrivedAt)), "total-ms", int64(now - req.arrivedAt),
+		"status", req.response.status, "framed", req.framed, "last-event", req.response.lastEventID, "first-byte-ms", int64(req.response.timeToHeader(req.arrivedAt)), "total-ms", int64(now - req.arrivedAt),
 	}
 	if req.table != nil {
 		attrs = append(attrs, "config-version", req.table.Version())
--- a/waxfleet/waxforward/retry.go
+++ b/waxfleet/waxforward/retry.go
@@ -90,6 +90,7 @@
 		// With resultServerFailure, relayBuffered has already reserved the retry.
 		retry := res == resultServerFailure || f.mayRetry(req, res)
 		f.opts.Log.Warn("send failed", "request", req.inbound.ID, "server", id, "result", res.String(), "error", err.Error(),
+			"framed", req.framed, "last-event", req.response.lastEventID,
 			"runs", req.runs, "attempts", req.route.MaxAttempts(), "again", retry)
 		if !retry {
 			return f.finalError(req, res, err)
--- a/waxfleet/waxforward/send.go
+++ b/waxfleet/waxforward/send.go
@@ -49,7 +49,7 @@
 	}
 	req.sends++
 	req.runs++
-	req.sentAt, req.headerAt, req.firstEventAt = f.opts.Clock.Now(), 0, 0
+	req.sentAt, req.headerAt, req.firstEventAt, req.framed = f.opts.Clock.Now(), 0, 0, false
 	timeout := f.headerTimeout(req)
 	var timer *time.Timer
 	if timeout > 0 {
