waxforward: pass close-delimited answers on without stating their end

Cause: an answer without length and chunks ends with its connection, and an orderly end between two events was taken for the end of the answer. The instance then stated it to the caller: with the last chunk of a stream, or with a Content-Length that it counted itself. Class of fault: a statement of the sender is passed on as a stronger one.

Change: such an answer stays close-delimited for its caller. At its end the server is asked for a new connection, which the next request uses; a server that refuses it has crashed, and the answer is broken: repeated or resumed where the route allows it, otherwise 502 or a reset. An aborted close-delimited answer ends with a reset. An answer that began with chunks is not ended by one without. Connections that a probe opened are kept instead of closed.

--- a/waxfleet/waxforward/forwarder.go
+++ b/waxfleet/waxforward/forwarder.go
@@ -169,7 +169,7 @@
 		host:         r.Host,
 		triedServers: map[string]bool{},
 		runsAtCheck:  -1,
-		response:     newResponseWriter(w, f.opts.Protocol, f.opts.Clock),
+		response:     newResponseWriter(w, r, f.opts.Protocol, f.opts.Clock),
 	}
 	if f.opts.Stopping() {
 		w.Header().Set("Connection", "close")
@@ -348,8 +348,6 @@
 	}
 	f.opts.Log.Warn("request failed", append(attrs, "answered", status, "cut", abort)...)
 	if abort {
-		// The response header was sent. Only a broken connection shows the caller that
-		// the response is incomplete.
-		panic(http.ErrAbortHandler)
+		req.response.abort()
 	}
 }
--- a/waxfleet/waxforward/relay.go
+++ b/waxfleet/waxforward/relay.go
@@ -30,16 +30,31 @@
 	if resp.Status >= 200 && resp.Status < 300 && req.route.Kind() == waxfleet.KindStream {
 		return f.relayStream(ctx, cancel, req, resp)
 	}
-	return f.relayBuffered(req, resp)
+	return f.relayBuffered(ctx, req, resp)
+}
+
+// confirmEnd returns an error if a response that seems complete ended because its server
+// crashed.
+func confirmEnd(ctx context.Context, resp *waxpool.Response) error {
+	if err := resp.ConfirmEnd(ctx); refused(err) {
+		return waxfleet.WrapError(err, waxfleet.CodeBackendDied, "close-delimited response ended with a crash of the server")
+	}
+	return nil
 }
 
 // relayBuffered reads the complete response before it sends it. It streams a response
 // over maxBufferedBytes.
-func (f *Forwarder) relayBuffered(req *requestState, resp *waxpool.Response) (result, error) {
+func (f *Forwarder) relayBuffered(ctx context.Context, req *requestState, resp *waxpool.Response) (result, error) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
 	if err != nil {
 		return resultMayHaveRun, waxfleet.WrapError(err, waxfleet.CodeBackendDied, "response ended early")
 	}
+	whole := len(body) < maxBufferedBytes
+	if whole {
+		if err := confirmEnd(ctx, resp); err != nil {
+			return resultMayHaveRun, err
+		}
+	}
 	switch {
 	case impliesNotRun(resp.Status):
 		return resultMayHaveRun, waxfleet.NewError(waxfleet.CodeBackendError,
@@ -49,15 +64,15 @@
 	case resp.Status >= 500 && f.mayRetry(req, resultServerFailure):
 		return resultServerFailure, waxfleet.NewError(waxfleet.CodeBackendError, "server responded with status %d", resp.Status)
 	}
-	if len(body) < maxBufferedBytes {
-		req.response.writeHeader(resp.Status, resp.Header, contentLength(req.method, resp, len(body)))
+	if whole {
+		req.response.writeHeader(resp, contentLength(req.method, resp, len(body)))
 		return resultOfWrite(req.response.write(body))
 	}
-	req.response.writeHeader(resp.Status, resp.Header, resp.Length)
+	req.response.writeHeader(resp, resp.Length)
 	if err := req.response.write(body); err != nil {
 		return resultCallerDisconnected, err
 	}
-	return f.relayRest(req, resp)
+	return f.relayRest(ctx, req, resp)
 }
 
 // contentLength returns the value of the Content-Length field: the length of the resource
@@ -88,7 +103,7 @@
 }
 
 // relayRest streams the rest of a response whose header was sent.
-func (f *Forwarder) relayRest(req *requestState, resp *waxpool.Response) (result, error) {
+func (f *Forwarder) relayRest(ctx context.Context, req *requestState, resp *waxpool.Response) (result, error) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := resp.Body.Read(buf)
@@ -98,6 +113,9 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			if err := confirmEnd(ctx, resp); err != nil {
+				return resultMayHaveRun, err
+			}
 			return resultComplete, nil
 		}
 		if err != nil {
@@ -119,14 +137,8 @@
 	}
 	for {
 		event, id, err := events.next()
-		if errors.Is(err, io.EOF) && !req.response.headerSent() && !resp.Framed() {
-			return resultMayHaveRun, waxfleet.NewError(waxfleet.CodeStreamIncomplete, "connection ended before the first event")
-		}
 		if errors.Is(err, io.EOF) {
-			if !req.response.headerSent() {
-				req.response.writeHeader(resp.Status, resp.Header, -1)
-			}
-			return resultComplete, nil
+			return endStream(ctx, req, resp)
 		}
 		if err != nil {
 			if errors.Is(context.Cause(ctx), errServerTimeout) {
@@ -149,7 +161,7 @@
 			return resultMayHaveRun, waxfleet.NewError(waxfleet.CodeAnswerMismatch, "event %d follows event %d", id, req.response.lastEventID)
 		}
 		if !req.response.headerSent() {
-			req.response.writeHeader(resp.Status, resp.Header, -1)
+			req.response.writeHeader(resp, -1)
 		}
 		if err := req.response.write(event); err != nil {
 			return resultCallerDisconnected, err
@@ -160,6 +172,26 @@
 	}
 }
 
+// endStream returns the result of a stream that ended between two events.
+func endStream(ctx context.Context, req *requestState, resp *waxpool.Response) (result, error) {
+	switch {
+	case resp.Framed():
+		if !req.response.headerSent() {
+			req.response.writeHeader(resp, -1)
+		}
+		return resultComplete, nil
+	case !req.response.headerSent():
+		return resultMayHaveRun, waxfleet.NewError(waxfleet.CodeStreamIncomplete, "connection ended before the first event")
+	case !req.response.closeDelimited:
+		return resultMayHaveRun, waxfleet.NewError(waxfleet.CodeStreamIncomplete,
+			"close-delimited response can't confirm the end of a response with chunks, after event %d", req.response.lastEventID)
+	}
+	if err := confirmEnd(ctx, resp); err != nil {
+		return resultMayHaveRun, err
+	}
+	return resultComplete, nil
+}
+
 // eventTimeout returns the timeout for the next event, after which another server resumes
 // the stream. 0 means that the request waits until its deadline.
 func (f *Forwarder) eventTimeout(req *requestState) waxfleet.Millis {
--- a/waxfleet/waxforward/responsewriter.go
+++ b/waxfleet/waxforward/responsewriter.go
@@ -3,10 +3,12 @@
 import (
 	"encoding/json"
 	"errors"
+	"net"
 	"net/http"
 	"strconv"
 
 	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxpool"
 )
 
 // responseWriter writes the response to the caller.
@@ -19,10 +21,15 @@
 	headerSentAt waxfleet.Millis
 	// lastEventID is the id of the last stream event written; -1 if none was.
 	lastEventID int64
+	// http10 is true for a caller that does not understand chunks.
+	http10 bool
+	// closeDelimited is true if the response ends with the caller's connection.
+	closeDelimited bool
 }
 
-func newResponseWriter(w http.ResponseWriter, protocol waxfleet.Protocol, clock *waxfleet.Clock) *responseWriter {
+func newResponseWriter(w http.ResponseWriter, r *http.Request, protocol waxfleet.Protocol, clock *waxfleet.Clock) *responseWriter {
 	return &responseWriter{
+		http10:      !r.ProtoAtLeast(1, 1),
 		w:           w,
 		controller:  http.NewResponseController(w),
 		protocol:    protocol,
@@ -43,10 +50,11 @@
 }
 
 // writeHeader sends the header of the backend server's response. length is the length of
-// the body in bytes, or -1 if unknown.
-func (rw *responseWriter) writeHeader(status int, h http.Header, length int64) {
+// the body in bytes, or -1 if unknown. A close-delimited response stays close-delimited:
+// chunks or a length would state that its body is complete, which nobody knows.
+func (rw *responseWriter) writeHeader(resp *waxpool.Response, length int64) {
 	out := rw.w.Header()
-	for name, values := range rw.protocol.CallerHeader(h) {
+	for name, values := range rw.protocol.CallerHeader(resp.Header) {
 		out[name] = values
 	}
 	// net/http would add these fields; the caller gets only those that the backend server
@@ -56,11 +64,41 @@
 			out[name] = nil
 		}
 	}
-	if length >= 0 {
+	switch {
+	case !resp.Framed():
+		// Makes net/http omit the chunks and close the connection.
+		out.Set("Transfer-Encoding", "identity")
+		rw.closeDelimited = true
+	case length >= 0:
 		out.Set("Content-Length", strconv.FormatInt(length, 10))
+	default:
+		rw.closeDelimited = rw.http10
 	}
-	rw.status, rw.headerSentAt = status, rw.clock.Now()
-	rw.w.WriteHeader(status)
+	rw.status, rw.headerSentAt = resp.Status, rw.clock.Now()
+	rw.w.WriteHeader(resp.Status)
+}
+
+// abort breaks the caller's connection off. After a response header, only that shows that
+// the response is incomplete.
+func (rw *responseWriter) abort() {
+	if rw.closeDelimited {
+		rw.reset()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// reset resets the caller's connection. An orderly close would look like the end of a
+// close-delimited response.
+func (rw *responseWriter) reset() {
+	conn, _, err := rw.controller.Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		// An error means that the connection is closed.
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
 }
 
 // write sends a part of the body and flushes it.
--- a/waxfleet/waxforward/suspect.go
+++ b/waxfleet/waxforward/suspect.go
@@ -106,7 +106,7 @@
 		}
 		conn, err := state.pool.Get(ctx)
 		if err == nil {
-			conn.Discard()
+			conn.ReleaseUnused()
 			if complete {
 				f.recordAnswer(req.traits)
 			}
--- a/waxfleet/waxpool/conn.go
+++ b/waxfleet/waxpool/conn.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -108,20 +109,34 @@
 	Status int
 	Header http.Header
 	Head   waxfleet.ResponseHead
-	// Body ends with io.EOF only after a complete response.
+	// Body ends with io.EOF after a complete response. A close-delimited one may be
+	// incomplete then.
 	Body io.Reader
 	// Length is the declared length of the body in bytes, or -1.
 	Length int64
 
+	conn         *Conn
 	httpResponse *http.Response
 	// writeResult receives the result of writing the request.
 	writeResult chan error
 }
 
-// Framed reports whether the response marks its end. Otherwise it ends with its
-// connection, and a crash of the server may look like the end.
+// Framed reports whether the response marks its end. Otherwise it is close-delimited: it
+// ends with its connection, and its end says nothing about completeness.
 func (r *Response) Framed() bool {
-	return r.Length >= 0 || len(r.httpResponse.TransferEncoding) > 0
+	return r.Length >= 0 || len(r.httpResponse.TransferEncoding) > 0 || r.httpResponse.Body == http.NoBody
+}
+
+// ConfirmEnd checks at the end of a close-delimited response that its server still accepts
+// connections. A server that crashed does not.
+//
+// Errors: like Pool.Probe.
+func (r *Response) ConfirmEnd(ctx context.Context) error {
+	if r.Framed() {
+		return nil
+	}
+	r.conn.Discard()
+	return r.conn.pool.Probe(ctx)
 }
 
 // RoundTrip sends the request and reads the header of the response. A call of Discard by
@@ -202,6 +217,7 @@
 				Head:         head,
 				Body:         httpResp.Body,
 				Length:       httpResp.ContentLength,
+				conn:         c,
 				httpResponse: httpResp,
 				writeResult:  writeResult,
 			}, nil
@@ -231,6 +247,14 @@
 	c.pool.putIdle(c, resp.Head.IdleTimeout)
 }
 
+// ReleaseUnused returns a connection that has carried no request since Get to its pool.
+func (c *Conn) ReleaseUnused() {
+	if c.idleUntil == 0 {
+		c.idleUntil = c.pool.clock.Now() + unusedIdleTimeout
+	}
+	c.pool.addIdle(c)
+}
+
 // Discard closes the connection. Further calls have no effect.
 func (c *Conn) Discard() {
 	c.mu.Lock()
--- a/waxfleet/waxpool/pool.go
+++ b/waxfleet/waxpool/pool.go
@@ -25,6 +25,9 @@
 	// defaultIdleTimeout is the idle timeout of a connection when the server does not
 	// declare one.
 	defaultIdleTimeout waxfleet.Millis = 4_000
+	// unusedIdleTimeout is the idle timeout of a connection that has carried no request.
+	// Servers may give such connections less time than others.
+	unusedIdleTimeout waxfleet.Millis = 1_000
 	// idleMargin is subtracted from the idle timeout that the server declares, so that no
 	// request is sent while the server closes the connection.
 	idleMargin waxfleet.Millis = 500
@@ -87,6 +90,23 @@
 	if c := p.takeIdle(); c != nil {
 		return c, nil
 	}
+	return p.open(ctx)
+}
+
+// Probe opens a new connection and keeps it for the next request.
+//
+// Errors: like Get.
+func (p *Pool) Probe(ctx context.Context) error {
+	c, err := p.open(ctx)
+	if err != nil {
+		return err
+	}
+	c.ReleaseUnused()
+	return nil
+}
+
+// open opens a connection. Errors: like Get.
+func (p *Pool) open(ctx context.Context) (*Conn, error) {
 	p.mu.Lock()
 	if p.openCount >= p.limit {
 		p.mu.Unlock()
@@ -132,6 +152,11 @@
 		keep = max(idleTimeout-idleMargin, idleTimeout/2)
 	}
 	c.idleUntil = p.clock.Now() + keep
+	p.addIdle(c)
+}
+
+// addIdle adds an idle connection, unless the pool is closed.
+func (p *Pool) addIdle(c *Conn) {
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
--- a/waxfleet/waxpool/pool_test.go
+++ b/waxfleet/waxpool/pool_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -271,3 +273,68 @@
 		c.Discard()
 	})
 }
+
+// TestEndOfCloseDelimitedResponse guards against taking the end of a close-delimited
+// response for complete although its server has crashed, against probes of servers whose
+// responses mark their end, and against a second connection for the next request.
+func TestEndOfCloseDelimitedResponse(t *testing.T) {
+	for name, test := range map[string]struct {
+		response, method string
+		framed, crash    bool
+		dials            int64
+	}{
+		"alive":          {response: "HTTP/1.1 200 OK\r\nAttempt: 1\r\n\r\nbody", dials: 2},
+		"crashed":        {response: "HTTP/1.1 200 OK\r\nAttempt: 1\r\n\r\nbody", crash: true, dials: 2},
+		"length":         {response: response("1", "body"), framed: true, dials: 1},
+		"chunks":         {response: "HTTP/1.1 200 OK\r\nAttempt: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", framed: true, dials: 1},
+		"no body":        {response: "HTTP/1.1 204 No Content\r\nAttempt: 1\r\n\r\n", framed: true, dials: 1},
+		"head":           {response: "HTTP/1.1 200 OK\r\nAttempt: 1\r\n\r\n", method: http.MethodHead, framed: true, dials: 1},
+		"length crashed": {response: response("1", "body"), framed: true, crash: true, dials: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			is.NoErr(err)
+			defer func() { _ = l.Close() }()
+			go func() {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, test.response)
+				if test.crash {
+					_ = l.Close()
+				}
+				_ = conn.Close()
+				if conn, err = l.Accept(); err == nil {
+					t.Cleanup(func() { _ = conn.Close() })
+				}
+			}()
+			p := New(waxfleet.NewClock(), plainProtocol{}, l.Addr().String(), 1)
+			defer p.Close()
+			c, err := p.Get(context.Background())
+			is.NoErr(err)
+			r := request("1")
+			if test.method != "" {
+				r.Method = test.method
+			}
+			resp, err := c.RoundTrip(r)
+			is.NoErr(err)
+			_, err = io.ReadAll(resp.Body)
+			is.NoErr(err)
+			is.Equal(resp.Framed(), test.framed)
+			err = resp.ConfirmEnd(context.Background())
+			is.Equal(errors.Is(err, syscall.ECONNREFUSED), test.crash && !test.framed)
+			is.Equal(p.DialCount(), test.dials)
+			if test.framed || test.crash {
+				return
+			}
+			_, err = p.Get(context.Background())
+			is.NoErr(err)
+			is.Equal(p.DialCount(), test.dials) // the connection was kept
+		})
+	}
+}
