waxfollow: log the era of a store that was restored from a copy

The logs could not tell a copy that is followed across the restore from a watch that goes on from a revision that was given out again.

Store-Era is decoded with each list and watch, and its change is logged with the revisions before and after. No change of behaviour.

--- a/waxfleet/feed.go
+++ b/waxfleet/feed.go
@@ -28,6 +28,8 @@
 	Full bool
 	// Revision is the store revision to resume watching from.
 	Revision uint64
+	// Era is the number of times that the store was restored from a copy; 0 if unknown.
+	Era uint64
 	// Lag is the maximum age of this state when the call was sent. It is negative when
 	// the store is known to have had the state only after that.
 	Lag Millis
@@ -40,7 +42,7 @@
 		return changes
 	}
 	byName := make(map[string]int, len(b.Records))
-	merged := Batch[T]{Full: true, Revision: changes.Revision, Lag: b.Lag, Records: slices.Clone(b.Records)}
+	merged := Batch[T]{Full: true, Revision: changes.Revision, Era: changes.Era, Lag: b.Lag, Records: slices.Clone(b.Records)}
 	for i, r := range merged.Records {
 		byName[r.Name] = i
 	}
--- a/waxfleet/waxfollow/follower.go
+++ b/waxfleet/waxfollow/follower.go
@@ -76,6 +76,8 @@
 type Follower[T any] struct {
 	opts      Options[T]
 	storeLost bool
+	// era is the last known era of the store.
+	era uint64
 	// noStaleList is set once a list of the store has failed or the store has discarded
 	// its history. It may then lack the changes since a stale state.
 	noStaleList bool
@@ -207,6 +209,7 @@
 		return 0, waxfleet.NewError(waxfleet.CodePeerUnreachable, "replica is %d ms behind the store", b.Lag)
 	}
 	f.noteStoreRecovered(source.Peer)
+	f.noteEra(b, revision)
 	f.logUnreadable(b.Records)
 	f.opts.Apply(b, sent-b.Lag)
 	return b.Revision, nil
@@ -239,6 +242,16 @@
 	}
 }
 
+// noteEra logs that the store was restored from a copy. revision is that of the last batch
+// before.
+func (f *Follower[T]) noteEra(b waxfleet.Batch[T], revision uint64) {
+	if b.Era > f.era && f.era > 0 {
+		f.opts.Log.Warn("store restored from a copy", "feed", f.opts.Name, "era", b.Era, "previous-era", f.era,
+			"revision", b.Revision, "previous-revision", revision, "full", b.Full)
+	}
+	f.era = max(f.era, b.Era)
+}
+
 // noteStoreFailure reports a failed call to the store, and the loss of the store after
 // the first one.
 func (f *Follower[T]) noteStoreFailure(err error) {
