waxdirectory: do not believe old entries of a restored store

What callers would see: requests sent to a server that was draining or gone, because the store came back older and had its earlier entry again (DRAIN).

Cause: a full list replaced all that was known. That holds for a store that loses nothing.

Change: a batch says whether the store was restored since the last one. For 5 s after that, an entry in a list of a server that was removed, or that is leaving in the same incarnation, is kept aside: a change to it is believed, a deletion drops it, and what is still listed then is used again.

Ruled out: to remember leaving for good; a server may start again with the same entry, as whole/servers does.

--- a/waxfleet/feed.go
+++ b/waxfleet/feed.go
@@ -26,6 +26,9 @@
 	Records []Record[T]
 	// Full reports that Records lists all records. Otherwise it holds changes in order.
 	Full bool
+	// Restored reports that the store was restored from an older copy since the previous
+	// batch. Full is then set, and the records may lack what was written since the copy.
+	Restored bool
 	// Revision is the store revision to resume watching from.
 	Revision Revision
 	// Lag is the maximum age of this state when the call was sent. It is negative when
--- a/waxfleet/waxdirectory/directory.go
+++ b/waxfleet/waxdirectory/directory.go
@@ -19,6 +19,13 @@
 	// which its servers count as cold. Their entries say so only after the next heartbeat
 	// and its propagation delay.
 	restoredColdWindow waxfleet.Millis = 2_500
+	// staleEntryPeriod is the time after a restore of the store during which entries of
+	// removed or leaving servers may be those of the copy. Running servers write theirs
+	// again meanwhile, and those of others expire.
+	staleEntryPeriod waxfleet.Millis = 5_000
+	// removalMemory is how long a removal is remembered. It exceeds the age of copies from
+	// which the store is restored.
+	removalMemory waxfleet.Millis = 60_000
 )
 
 // Server is a snapshot of a backend server in the directory.
@@ -47,6 +54,12 @@
 // may have stopped.
 func (s Server) Missing() bool { return s.missing }
 
+// leavesAs reports whether the server is leaving and the entry is of the same incarnation.
+func (s Server) leavesAs(e waxfleet.BackendServerEntry) bool {
+	return s.entry.Server().State() == waxfleet.StateLeaving &&
+		e.StartUnixMilli() == s.entry.StartUnixMilli() && e.Server().Address() == s.entry.Server().Address()
+}
+
 // Change describes a change to one server of the directory.
 type Change struct {
 	Server waxfleet.BackendServer
@@ -78,6 +91,18 @@
 	storeLost        bool
 	storeRecoveredAt waxfleet.Millis
 	hadOutage        bool
+	// removals holds the removed servers by name.
+	removals map[string]removal
+	// staleEntries holds the entries of removed and leaving servers that a restored store has
+	// again, until staleUntil.
+	staleEntries map[string]waxfleet.Record[waxfleet.BackendServerEntry]
+	staleUntil   waxfleet.Millis
+}
+
+// removal is the removal of an incarnation of a server.
+type removal struct {
+	startUnixMilli int64
+	at             waxfleet.Millis
 }
 
 // New returns an empty Directory.
@@ -85,6 +110,8 @@
 	return &Directory{
 		clock: clock, servers: map[string]*Server{}, evacuated: map[string]bool{},
 		domainColdUntil: map[string]waxfleet.Millis{},
+		removals:        map[string]removal{},
+		staleEntries:    map[string]waxfleet.Record[waxfleet.BackendServerEntry]{},
 	}
 }
 
@@ -114,10 +141,31 @@
 func (d *Directory) ApplyList(records []waxfleet.Record[waxfleet.BackendServerEntry]) []Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.applyList(records)
+}
+
+// ApplyRestoredList is ApplyList for the first list after the store was restored from an
+// older copy. Until servers have written their entries again, the store may lack those of
+// running servers and have those of servers that are gone.
+func (d *Directory) ApplyRestoredList(records []waxfleet.Record[waxfleet.BackendServerEntry]) []Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Now()
+	d.hadOutage, d.storeRecoveredAt, d.staleUntil = true, now, now+staleEntryPeriod
+	return d.applyList(records)
+}
+
+// applyList applies a full list. The caller holds the lock.
+func (d *Directory) applyList(records []waxfleet.Record[waxfleet.BackendServerEntry]) []Change {
+	clear(d.staleEntries)
 	listed := map[string]bool{}
 	var changes []Change
 	for _, r := range records {
 		listed[r.Name] = true
+		if d.mayBeStale(r) {
+			d.staleEntries[r.Name] = r
+			continue
+		}
 		changes = d.upsert(changes, r)
 	}
 	for id, s := range d.servers {
@@ -136,6 +184,7 @@
 	defer d.mu.Unlock()
 	var changes []Change
 	for _, r := range records {
+		delete(d.staleEntries, r.Name)
 		if !r.Deleted {
 			changes = d.upsert(changes, r)
 			continue
@@ -147,6 +196,19 @@
 	return changes
 }
 
+// mayBeStale reports whether the entry of a restored store may be an old one of a server
+// that was removed since, or is leaving. The caller holds the lock.
+func (d *Directory) mayBeStale(r waxfleet.Record[waxfleet.BackendServerEntry]) bool {
+	if !r.Decoded || d.clock.Now() >= d.staleUntil {
+		return false
+	}
+	if s := d.servers[r.Name]; s != nil && s.leavesAs(r.Value) {
+		return r.Value.Server().State() == waxfleet.StateLive
+	}
+	removed, ok := d.removals[r.Name]
+	return ok && removed.startUnixMilli == r.Value.StartUnixMilli()
+}
+
 // upsert adds or updates a server and appends the change, if any. It ignores an
 // unreadable entry: a known server keeps its last readable one. The caller holds the
 // lock.
@@ -157,6 +219,7 @@
 	now := d.clock.Now()
 	server := r.Value.Server()
 	old := d.servers[r.Name]
+	delete(d.removals, r.Name)
 	s := &Server{entry: r.Value, revision: r.Revision}
 	if c := r.Value.RemainingWarmup(); c > 0 {
 		s.coldUntil = now + c
@@ -192,23 +255,38 @@
 		change.Kind = ChangeMissing
 		return append(changes, change)
 	}
-	delete(d.servers, s.ID())
+	d.remove(s)
 	change.Kind = ChangeRemoved
 	return append(changes, change)
 }
 
+// remove removes a server. The caller holds the lock.
+func (d *Directory) remove(s *Server) {
+	delete(d.servers, s.ID())
+	d.removals[s.ID()] = removal{startUnixMilli: s.entry.StartUnixMilli(), at: d.clock.Now()}
+}
+
 // Sweep removes the missing servers whose entries weren't rewritten within
-// outageGracePeriod after a store outage, and returns the changes.
+// outageGracePeriod after a store outage, adds those that a restored store still lists
+// after staleEntryPeriod, and returns the changes.
 func (d *Directory) Sweep() []Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var changes []Change
-	if d.storeLost || d.clock.Now() < d.storeRecoveredAt+outageGracePeriod {
-		return nil
+	now := d.clock.Now()
+	maps.DeleteFunc(d.removals, func(_ string, r removal) bool { return now-r.at >= removalMemory })
+	if now >= d.staleUntil {
+		for _, r := range d.staleEntries {
+			changes = d.upsert(changes, r)
+		}
+		clear(d.staleEntries)
 	}
-	for id, s := range d.servers {
+	if d.storeLost || now < d.storeRecoveredAt+outageGracePeriod {
+		return changes
+	}
+	for _, s := range d.servers {
 		if s.missing {
-			delete(d.servers, id)
+			d.remove(s)
 			changes = append(changes, Change{Server: s.entry.Server(), Kind: ChangeRemoved, Revision: s.revision})
 		}
 	}
--- a/waxfleet/waxdirectory/directory_test.go
+++ b/waxfleet/waxdirectory/directory_test.go
@@ -35,6 +35,8 @@
 			switch td.Cmd {
 			case "list":
 				return formatChanges(d.ApplyList(records(td.Input)))
+			case "restored-list":
+				return formatChanges(d.ApplyRestoredList(records(td.Input)))
 			case "changes":
 				return formatChanges(d.ApplyChanges(records(td.Input)))
 			case "store-lost":
--- a/waxfleet/waxfollow/follower.go
+++ b/waxfleet/waxfollow/follower.go
@@ -207,7 +207,10 @@
 		return 0, waxfleet.NewError(waxfleet.CodePeerUnreachable, "replica is %d ms behind the store", b.Lag)
 	}
 	f.noteStoreRecovered(source.Peer)
-	f.noteRestore(b, revision)
+	b.Restored = revision > 0 && b.Revision.Era() > revision.Era()
+	if b.Restored {
+		f.opts.Log.Warn("store restored from a copy", "feed", f.opts.Name, "revision", b.Revision, "previous-revision", revision)
+	}
 	f.logUnreadable(b.Records)
 	f.opts.Apply(b, sent-b.Lag)
 	return b.Revision, nil
@@ -240,13 +243,6 @@
 	}
 }
 
-// noteRestore logs that the store was restored from a copy since the previous batch.
-func (f *Follower[T]) noteRestore(b waxfleet.Batch[T], previous waxfleet.Revision) {
-	if previous > 0 && b.Revision.Era() > previous.Era() {
-		f.opts.Log.Warn("store restored from a copy", "feed", f.opts.Name, "revision", b.Revision, "previous-revision", previous)
-	}
-}
-
 // noteStoreFailure reports a failed call to the store, and the loss of the store after
 // the first one.
 func (f *Follower[T]) noteStoreFailure(err error) {
--- a/waxfleet/waxfront/instance.go
+++ b/waxfleet/waxfront/instance.go
@@ -417,7 +417,11 @@
 
 // applyServers applies a batch to the directory of backend servers.
 func (inst *Instance) applyServers(b waxfleet.Batch[waxfleet.BackendServerEntry], _ waxfleet.Millis) {
-	if b.Full {
+	switch {
+	case b.Restored:
+		inst.logServers(inst.directory.ApplyRestoredList(b.Records), "restored list")
+		return
+	case b.Full:
 		inst.logServers(inst.directory.ApplyList(b.Records), "list")
 		return
 	}
