waxdirectory: keep evacuations that a restored store has lost

What callers would see: requests sent into a failure domain that operators have evacuated, because the store came back from a copy without the evacuation (EVAC).

Cause: as for entries of servers, a full list replaced all that was known.

Change: evacuations that a restored store lacks stay in force until they are written again or for 5 s. A domain that is served 5 s later than it might is the lesser harm.

The script restored-evacuations of waxdirectory covers the period.

--- a/waxfleet/waxdirectory/directory.go
+++ b/waxfleet/waxdirectory/directory.go
@@ -83,9 +83,13 @@
 type Directory struct {
 	clock *waxfleet.Clock
 
-	mu               sync.Mutex
-	servers          map[string]*Server
+	mu      sync.Mutex
+	servers map[string]*Server
+	// evacuated holds the evacuated failure domains, including those in lostEvacuations:
+	// the ones that a restored store has lost, until lostUntil.
 	evacuated        map[string]bool
+	lostEvacuations  map[string]bool
+	lostUntil        waxfleet.Millis
 	domainColdUntil  map[string]waxfleet.Millis
 	loaded           bool
 	storeLost        bool
@@ -109,6 +113,7 @@
 func New(clock *waxfleet.Clock) *Directory {
 	return &Directory{
 		clock: clock, servers: map[string]*Server{}, evacuated: map[string]bool{},
+		lostEvacuations: map[string]bool{},
 		domainColdUntil: map[string]waxfleet.Millis{},
 		removals:        map[string]removal{},
 		staleEntries:    map[string]waxfleet.Record[waxfleet.BackendServerEntry]{},
@@ -294,11 +299,49 @@
 }
 
 // SetEvacuated sets the evacuated failure domains, whose servers get no new requests. It
-// returns the newly evacuated domains and the restored ones. It keeps a reference to
-// domains, which the caller must not modify.
-func (d *Directory) SetEvacuated(domains map[string]bool) (evacuated, restored []string) {
+// returns the newly evacuated domains and those that are back in service.
+func (d *Directory) SetEvacuated(domains map[string]bool) (evacuated, back []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	maps.DeleteFunc(d.lostEvacuations, func(domain string, _ bool) bool { return domains[domain] })
+	return d.setEvacuated(domains)
+}
+
+// SetRestoredEvacuated is SetEvacuated for the first list after the store was restored from
+// an older copy. Evacuations that it lacks stay in force until they would have been written
+// again.
+func (d *Directory) SetRestoredEvacuated(domains map[string]bool) (evacuated, back []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for domain := range d.evacuated {
+		if !domains[domain] {
+			d.lostEvacuations[domain] = true
+		}
+	}
+	d.lostUntil = d.clock.Now() + staleEntryPeriod
+	return d.setEvacuated(domains)
+}
+
+// ExpireEvacuations ends evacuations that a restored store has lost and that were not
+// written again, and returns the domains that are back in service.
+func (d *Directory) ExpireEvacuations() (back []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.lostEvacuations) == 0 || d.clock.Now() < d.lostUntil {
+		return nil
+	}
+	listed := maps.Clone(d.evacuated)
+	maps.DeleteFunc(listed, func(domain string, _ bool) bool { return d.lostEvacuations[domain] })
+	clear(d.lostEvacuations)
+	_, back = d.setEvacuated(listed)
+	return back
+}
+
+// setEvacuated sets the evacuated failure domains to those that are listed or lost. The
+// caller holds the lock.
+func (d *Directory) setEvacuated(listed map[string]bool) (evacuated, back []string) {
+	domains := maps.Clone(listed)
+	maps.Copy(domains, d.lostEvacuations)
 	for domain := range domains {
 		if !d.evacuated[domain] {
 			evacuated = append(evacuated, domain)
@@ -306,12 +349,12 @@
 	}
 	for domain := range d.evacuated {
 		if !domains[domain] {
-			restored = append(restored, domain)
+			back = append(back, domain)
 			d.domainColdUntil[domain] = d.clock.Now() + restoredColdWindow
 		}
 	}
 	d.evacuated = domains
-	return evacuated, restored
+	return evacuated, back
 }
 
 // Servers returns the servers of a service that accept new requests, in no
--- a/waxfleet/waxdirectory/directory_test.go
+++ b/waxfleet/waxdirectory/directory_test.go
@@ -49,13 +49,19 @@
 				var ms int
 				td.ScanArgs(t, "ms", &ms)
 				clock.Advance(waxfleet.Millis(ms))
-			case "evacuate":
+			case "evacuate", "restored-evacuations":
 				domains := map[string]bool{}
 				for _, a := range td.CmdArgs {
 					domains[a.Key] = true
 				}
-				evacuated, restored := d.SetEvacuated(domains)
+				set := d.SetEvacuated
+				if td.Cmd == "restored-evacuations" {
+					set = d.SetRestoredEvacuated
+				}
+				evacuated, restored := set(domains)
 				return fmt.Sprintf("evacuated %v restored %v\n", evacuated, restored)
+			case "expire-evacuations":
+				return fmt.Sprintf("restored %v\n", d.ExpireEvacuations())
 			case "servers":
 				return formatServers(d, clock.Now())
 			default:
--- a/waxfleet/waxfront/instance.go
+++ b/waxfleet/waxfront/instance.go
@@ -314,6 +314,7 @@
 func (inst *Instance) sweep(ctx context.Context) {
 	for inst.opts.Clock.Sleep(ctx, sweepInterval) == nil {
 		inst.logServers(inst.directory.Sweep(), "missing after the outage of the store")
+		inst.logBackInService(inst.directory.ExpireEvacuations(), inst.Revision(FeedEvacuations))
 		inst.servers.Prune(inst.directory, inst.cacheIndex, inst.limits)
 		inst.checkRegistered()
 		inst.metrics.updateGauges(inst.forwarder.Active(), inst.directory.Count(), inst.opts.DroppedLogLines())
@@ -457,13 +458,22 @@
 			next[r.Name] = true
 		}
 		current = next
-		evacuated, restored := inst.directory.SetEvacuated(next)
+		set := inst.directory.SetEvacuated
+		if b.Restored {
+			set = inst.directory.SetRestoredEvacuated
+		}
+		evacuated, back := set(next)
 		for _, domain := range evacuated {
 			inst.log.Info("failure domain evacuated", "failure-domain", domain, "revision", b.Revision)
 		}
-		for _, domain := range restored {
-			inst.log.Info("failure domain back in service", "failure-domain", domain, "revision", b.Revision)
-		}
+		inst.logBackInService(back, b.Revision)
+	}
+}
+
+// logBackInService logs the failure domains whose evacuation has ended, as of a revision.
+func (inst *Instance) logBackInService(domains []string, revision waxfleet.Revision) {
+	for _, domain := range domains {
+		inst.log.Info("failure domain back in service", "failure-domain", domain, "revision", revision)
 	}
 }
 
