waxfresh: prove no key with a store that may have lost a revocation

What callers would see: a request with a revoked key that runs later than five seconds after the revocation (CONFIG), because the store came back from a copy without it.

Cause: any read of the store counted as proof that the list of keys is current. An instance that had not seen the revocation before the outage read an older configuration and took it for confirmed.

Change: after a restore, reads confirm nothing until the configuration was written in the new era, or until 2 s have passed. The proof of before still holds for its time. Meanwhile the configuration is watched with a short wait, so that keys are confirmed soon after.

Ruled out: to trust the version alone; the store may have the version that the instance has, and still lack the next one.

--- a/waxfleet/waxfresh/freshness.go
+++ b/waxfleet/waxfresh/freshness.go
@@ -12,9 +12,17 @@
 // check and the start of the request at the backend server.
 const DispatchMargin waxfleet.Millis = 300
 
+// rewritePeriod is the time within which operators write a configuration again that a
+// restored store has lost.
+const rewritePeriod waxfleet.Millis = 2_000
+
 // Freshness records when the configuration was last confirmed to be current. The age of a
 // confirmation counts from the time at which the read was sent, because the response
 // shows the state at some time after that. It is safe for concurrent use.
+//
+// A store that was restored from an older copy may lack a version that revokes keys. A read
+// then confirms nothing until the configuration was written in the new era, or until
+// rewritePeriod has passed.
 type Freshness struct {
 	clock *waxfleet.Clock
 
@@ -24,6 +32,11 @@
 	// confirmed is true after the first confirmation.
 	confirmed bool
 	maxAge    waxfleet.Millis
+	// version and revision are those of the configuration that the store had last.
+	version  uint64
+	revision waxfleet.Revision
+	// withheldUntil is when reads confirm the configuration again after a restore.
+	withheldUntil waxfleet.Millis
 }
 
 // NewFreshness returns a Freshness without a confirmation. maxAge is the maximum age of a
@@ -32,11 +45,38 @@
 	return &Freshness{clock: clock, maxAge: maxAge}
 }
 
+// Observe records the version and the revision of the configuration in the store. restored
+// means that the store was restored since the last call; a store that has lost the
+// configuration has version 0.
+func (f *Freshness) Observe(version uint64, revision waxfleet.Revision, restored bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	rewritten := revision.Number() != f.revision.Number()
+	switch {
+	case restored && (version != f.version || !rewritten):
+		f.withheldUntil = f.clock.Now() + rewritePeriod
+	case rewritten:
+		f.withheldUntil = 0
+	}
+	f.version, f.revision = version, revision
+}
+
+// Withheld reports whether reads confirm nothing for now.
+func (f *Freshness) Withheld() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.clock.Now() < f.withheldUntil
+}
+
 // Confirm records a successful read that was sent at the given clock time. It ignores a
-// read that was sent before the latest confirmed one.
+// read that was sent before the latest confirmed one, and all reads while confirmations
+// are withheld.
 func (f *Freshness) Confirm(sentAt waxfleet.Millis) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.clock.Now() < f.withheldUntil {
+		return
+	}
 	if !f.confirmed || sentAt > f.confirmedSentAt {
 		f.confirmedSentAt, f.confirmed = sentAt, true
 	}
--- a/waxfleet/waxfront/follow.go
+++ b/waxfleet/waxfront/follow.go
@@ -42,6 +42,9 @@
 var staleListFeeds = map[string]bool{FeedServers: true, FeedPeers: true}
 
 const (
+	// withheldConfigWait is the wait of a watch of the configuration while the restored store
+	// may lack the latest version. It bounds how long API keys stay unconfirmed afterwards.
+	withheldConfigWait waxfleet.Millis = 100
 	// maxReplicaLag is the lag above which another instance's replica of the
 	// configuration is no longer followed: two waits, a call and its response.
 	maxReplicaLag waxfleet.Millis = 2_200
@@ -219,6 +222,9 @@
 	opts.PeerFailed = func(peer string, _ error) { inst.replicas.selector.PeerFailed(peer) }
 	opts.Source = func() waxfollow.Source[T] {
 		source := waxfollow.Source[T]{Feed: store, Wait: feedMaxWaits[name]}
+		if name == FeedConfig && inst.freshness.Withheld() {
+			source.Wait = withheldConfigWait
+		}
 		peer, address := inst.source()
 		if peer == "" {
 			return source
--- a/waxfleet/waxfront/instance.go
+++ b/waxfleet/waxfront/instance.go
@@ -400,11 +400,14 @@
 // applyConfig applies a configuration with a higher version than the current one, and
 // records that the configuration is confirmed as of asOf.
 func (inst *Instance) applyConfig(b waxfleet.Batch[*waxtable.Table], asOf waxfleet.Millis) {
+	found := false
 	for _, r := range b.Records {
 		if r.Deleted || !r.Decoded {
 			// The last valid configuration stays in force.
 			continue
 		}
+		found = true
+		inst.freshness.Observe(r.Value.Version(), r.Revision, b.Restored)
 		old := inst.table.Load()
 		if old != nil && r.Value.Version() <= old.Version() {
 			continue
@@ -413,6 +416,14 @@
 		inst.log.Info("configuration in force", "config-version", r.Value.Version(), "revision", r.Revision,
 			"services", r.Value.ServiceCount(), "read-age-ms", int64(inst.opts.Clock.Now()-asOf))
 	}
+	if b.Full && !found {
+		inst.freshness.Observe(0, b.Revision, b.Restored)
+	}
+	if b.Restored {
+		age, _ := inst.freshness.Age()
+		inst.log.Info("configuration in the restored store", "revision", b.Revision, "found", found,
+			"confirmations-withheld", inst.freshness.Withheld(), "proof-age-ms", int64(age))
+	}
 	inst.freshness.Confirm(asOf)
 }
 
