waxpick: count engines that get nothing for the mean load of their service

Ruled out: counts of other instances that are late (at most 0.3 s old, and off by one or two requests in most placements).

Change: engines that are leaving or evacuated are candidates that are never chosen, and count for the mean.

--- a/waxfleet/waxdirectory/directory.go
+++ b/waxfleet/waxdirectory/directory.go
@@ -35,6 +35,8 @@
 	coldUntil waxfleet.Millis
 	// missing is set if the entry disappeared during a store outage.
 	missing bool
+	// acceptsWork is set in snapshots.
+	acceptsWork bool
 }
 
 // Entry returns the entry that the server registered.
@@ -50,6 +52,10 @@
 // little load.
 func (s Server) Cold(now waxfleet.Millis) bool { return now < s.coldUntil }
 
+// AcceptsWork reports whether the server may get new requests: it is not leaving, and its
+// failure domain is not evacuated.
+func (s Server) AcceptsWork() bool { return s.acceptsWork }
+
 // Missing reports whether the entry disappeared during a store outage, so that the server
 // may have stopped.
 func (s Server) Missing() bool { return s.missing }
@@ -357,14 +363,13 @@
 	return evacuated, back
 }
 
-// Servers returns the servers of a service that accept new requests, in no
-// particular order.
+// Servers returns all servers of a service, in no particular order.
 func (d *Directory) Servers(service string) []Server {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	out := make([]Server, 0, len(d.servers))
 	for _, s := range d.servers {
-		if s.entry.Server().Service() == service && d.acceptsWork(s) {
+		if s.entry.Server().Service() == service {
 			out = append(out, d.snapshot(s))
 		}
 	}
@@ -382,6 +387,7 @@
 // failure domain does. The caller holds the lock.
 func (d *Directory) snapshot(s *Server) Server {
 	c := *s
+	c.acceptsWork = d.acceptsWork(s)
 	c.coldUntil = max(c.coldUntil, d.domainColdUntil[s.entry.Server().FailureDomain()])
 	return c
 }
--- a/waxfleet/waxdirectory/directory_test.go
+++ b/waxfleet/waxdirectory/directory_test.go
@@ -119,6 +119,9 @@
 func formatServers(d *Directory, now waxfleet.Millis) string {
 	var lines []string
 	for _, s := range d.Servers("geiriau") {
+		if !s.AcceptsWork() {
+			continue
+		}
 		line := s.ID()
 		if s.Cold(now) {
 			line += " cold"
--- a/waxfleet/waxforward/select.go
+++ b/waxfleet/waxforward/select.go
@@ -45,11 +45,17 @@
 	unreachable := map[string]bool{}
 	for _, server := range servers {
 		state := f.servers.serverState(server.Entry(), connections)
+		others := counts[waxpeer.ServerHash(server.ID())]
+		if !server.AcceptsWork() {
+			candidates = append(candidates, waxpick.Candidate{
+				ID: server.ID(), Closed: true, Down: state.health.Down(now), Load: state.inFlight + others.InFlight,
+			})
+			continue
+		}
 		known[server.ID()] = state
 		candidate := f.candidate(server, state, svc, spec, instances, now)
 		f.applyLimit(req, &candidate, state, instances, now)
 		candidate.Degraded = candidate.Degraded || f.domainUnreachable(candidate.FailureDomain, unreachable, now)
-		others := counts[waxpeer.ServerHash(server.ID())]
 		candidate.Load = state.inFlight + others.InFlight
 		candidate.PendingTokens = state.pendingTokens + others.PendingTokens
 		candidate.CachedTokens = cached[state.incarnationHash]
--- a/waxfleet/waxpick/pick.go
+++ b/waxfleet/waxpick/pick.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -33,6 +34,9 @@
 	// OverLimit is set if the server names a rate limit, and this instance's share of it
 	// allows no request at present.
 	OverLimit bool
+	// Closed is set if the server gets no new requests, because it is leaving or its failure
+	// domain is evacuated. Its load counts for the mean.
+	Closed bool
 	// Down is set while connections to the server fail.
 	Down bool
 	// Degraded is set if the server may have stopped or fails more often than its
@@ -156,6 +160,11 @@
 	return float64(total) / float64(n)
 }
 
+// openCandidates returns the candidates that may get new requests.
+func openCandidates(candidates []Candidate) []Candidate {
+	return slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Closed })
+}
+
 // loadLimit returns the highest load at which an engine still gets the prompt.
 func loadLimit(p Prompt, mean float64) int {
 	if p.SharedTokens < smallPromptTokens {
@@ -167,12 +176,12 @@
 // ForPrompt chooses the engine for a prompt: the one with the shortest estimated wait
 // among those within the load limit. Prefill of uncached tokens counts as wait. Chats
 // thus return to engines that have their prefix cached, and new prompts that arrive at
-// once are spread. Engines in excluded are not chosen.
+// once are spread. Closed engines and those in excluded are not chosen.
 func ForPrompt(p Prompt, candidates []Candidate, excluded map[string]bool) Choice {
 	mean := meanLoad(candidates)
 	limit := loadLimit(p, mean)
 	choice := Choice{Reason: ReasonNone, MeanLoad: mean, LoadLimit: limit}
-	order := rendezvousOrder(p.Hash, candidates)
+	order := rendezvousOrder(p.Hash, openCandidates(candidates))
 	best, bestCost := -1, 0.0
 	for i, c := range order {
 		if c.Down || c.Degraded || excluded[c.ID] || c.overRate() || c.Load > limit {
@@ -255,6 +264,7 @@
 	mean := meanLoad(candidates)
 	choice := Choice{Reason: ReasonNone, MeanLoad: mean}
 	hash := xxhash.Sum64String(key)
+	candidates = openCandidates(candidates)
 	best, bestCost, bestWeight := -1, 0, uint64(0)
 	for i, c := range candidates {
 		if c.Down || excluded[c.ID] {
--- a/waxfleet/waxpick/pick_test.go
+++ b/waxfleet/waxpick/pick_test.go
@@ -33,7 +33,7 @@
 }
 
 // parseCandidates parses lines of the form "id load=n pending=n cached=n
-// slots=n domain=name down|doubtful|cold|paced|over-limit|excluded". doubtful sets
+// slots=n domain=name down|doubtful|closed|cold|paced|over-limit|excluded". doubtful sets
 // Degraded, and paced sets Cold and WithinColdRate.
 func parseCandidates(t *testing.T, input string) ([]Candidate, map[string]bool) {
 	t.Helper()
@@ -68,6 +68,8 @@
 				c.Down = true
 			case "doubtful":
 				c.Degraded = true
+			case "closed":
+				c.Closed = true
 			case "cold":
 				c.Cold = true
 			case "paced":
@@ -85,7 +87,7 @@
 	return out, excluded
 }
 
-// TestChoiceIsAllowed guards against choosing a server that is down, was tried
+// TestChoiceIsAllowed guards against choosing a server that is closed or down, was tried
 // before, or is cold with its rate limit used up, for any combination of loads.
 func TestChoiceIsAllowed(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
@@ -105,9 +107,10 @@
 				WithinColdRate: rapid.Bool().Draw(rt, "paced"),
 				Degraded:       rapid.Bool().Draw(rt, "doubtful"),
 				OverLimit:      rapid.Bool().Draw(rt, "over-limit"),
+				Closed:         rapid.Bool().Draw(rt, "closed"),
 			}
 			excluded[c.ID] = rapid.Bool().Draw(rt, "excluded")
-			allowed[c.ID] = !c.Down && !excluded[c.ID] && (!c.Cold || c.WithinColdRate) && !c.OverLimit
+			allowed[c.ID] = !c.Closed && !c.Down && !excluded[c.ID] && (!c.Cold || c.WithinColdRate) && !c.OverLimit
 			candidates[i] = c
 		}
 		anyAllowed := false
