waxforward: log the software versions of servers and what a request resumes

The logs could not tell whether a stream went on at another version inside one answer, after a caller took it up, or at an engine whose entry was out of date: no line named a version. The entry of a server is decoded with its version, and the request with the attempt that it resumes; nothing decides by either yet.

--- a/waxfleet/feed.go
+++ b/waxfleet/feed.go
@@ -87,6 +87,7 @@
 	slots           int
 	remainingWarmup Millis
 	startUnixMilli  int64
+	softwareVersion string
 }
 
 // NewBackendServerEntry returns an entry. slots is the number of requests that the server
@@ -109,6 +110,17 @@
 // distinguishes incarnations with the same id.
 func (e BackendServerEntry) StartUnixMilli() int64 { return e.startUnixMilli }
 
+// WithSoftwareVersion returns a copy of the entry with the version of the server's
+// software.
+func (e BackendServerEntry) WithSoftwareVersion(version string) BackendServerEntry {
+	e.softwareVersion = version
+	return e
+}
+
+// SoftwareVersion returns the version of the server's software; empty if the entry does
+// not name one. Versions have no order.
+func (e BackendServerEntry) SoftwareVersion() string { return e.softwareVersion }
+
 // Evacuation requests that a failure domain gets no new work. The name of its
 // record is the name of the failure domain.
 type Evacuation struct{}
--- a/waxfleet/protocol.go
+++ b/waxfleet/protocol.go
@@ -20,6 +20,9 @@
 	// LastEventID is the id of the last event that the caller received; -1 when the
 	// request does not resume a stream.
 	LastEventID int64
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream;
+	// empty when the request does not resume one.
+	Resumes string
 	// PromptParts lists the segments of the prompt in order. The last one is specific to
 	// the request or its session.
 	PromptParts []PromptPart
--- a/waxfleet/waxdirectory/directory.go
+++ b/waxfleet/waxdirectory/directory.go
@@ -70,6 +70,8 @@
 type Change struct {
 	Server waxfleet.BackendServer
 	Kind   string
+	// SoftwareVersion is the version of the server's software.
+	SoftwareVersion string
 	// Revision is the store revision of the entry or of its deletion; 0 if the entry was
 	// unlisted in a full list.
 	Revision waxfleet.Revision
@@ -236,7 +238,7 @@
 		s.coldUntil = now + c
 	}
 	d.servers[r.Name] = s
-	change := Change{Server: server, Revision: r.Revision}
+	change := Change{Server: server, SoftwareVersion: r.Value.SoftwareVersion(), Revision: r.Revision}
 	switch {
 	case server.State() == waxfleet.StateLeaving && (old == nil || old.entry.Server().State() != waxfleet.StateLeaving):
 		change.Kind = ChangeLeaving
@@ -257,7 +259,7 @@
 // is then only marked as missing. The caller holds the lock.
 func (d *Directory) removeOrMarkMissing(changes []Change, s *Server, revision waxfleet.Revision) []Change {
 	now := d.clock.Now()
-	change := Change{Server: s.entry.Server(), Revision: revision}
+	change := Change{Server: s.entry.Server(), SoftwareVersion: s.entry.SoftwareVersion(), Revision: revision}
 	if d.hadOutage && (d.storeLost || now-d.storeRecoveredAt < outageGracePeriod) {
 		if s.missing {
 			return changes
@@ -298,7 +300,7 @@
 	for _, s := range d.servers {
 		if s.missing {
 			d.remove(s)
-			changes = append(changes, Change{Server: s.entry.Server(), Kind: ChangeRemoved, Revision: s.revision})
+			changes = append(changes, Change{Server: s.entry.Server(), SoftwareVersion: s.entry.SoftwareVersion(), Kind: ChangeRemoved, Revision: s.revision})
 		}
 	}
 	return changes
--- a/waxfleet/waxforward/forwarder.go
+++ b/waxfleet/waxforward/forwarder.go
@@ -314,7 +314,7 @@
 	now := f.opts.Clock.Now()
 	attrs := []any{
 		"request", req.inbound.ID, "route", req.route.Name(), "service", req.service, "workspace", req.workspace.Name,
-		"server", req.entry.Server().ID(), "sends", req.sends, "runs", req.runs, "code", int(code), "outcome", code.Name(),
+		"server", req.entry.Server().ID(), "software-version", req.entry.SoftwareVersion(), "resumes", req.inbound.Resumes, "sends", req.sends, "runs", req.runs, "code", int(code), "outcome", code.Name(),
 		"status", req.response.status, "framed", req.framed, "last-event", req.response.lastEventID, "first-byte-ms", int64(req.response.timeToHeader(req.arrivedAt)), "total-ms", int64(now - req.arrivedAt),
 	}
 	if req.table != nil {
--- a/waxfleet/waxforward/retry.go
+++ b/waxfleet/waxforward/retry.go
@@ -62,7 +62,8 @@
 		req.triedServers[id] = true
 		heard, age := f.opts.Loads.ReportStats()
 		f.opts.Log.Info("placed", "request", req.inbound.ID, "server", id,
-			"reason", string(choice.Reason), "send", req.sends+1, "load", choice.Load,
+			"software-version", req.entry.SoftwareVersion(), "resumes", req.inbound.Resumes,
+			"after-event", max(req.inbound.LastEventID, req.response.lastEventID), "reason", string(choice.Reason), "send", req.sends+1, "load", choice.Load,
 			"pending-tokens", req.prefillTokens, "shared-tokens", req.promptKey.SharedTokens(),
 			"source", req.cacheSource, "mean", roundToTenth(choice.MeanLoad),
 			"limit", choice.LoadLimit, "peers", heard, "peer-age-ms", int64(age),
--- a/waxfleet/waxfront/instance.go
+++ b/waxfleet/waxfront/instance.go
@@ -490,7 +490,7 @@
 	for _, c := range changes {
 		inst.log.Info("backend server "+c.Kind, "server", c.Server.ID(),
 			"service", c.Server.Service(), "failure-domain", c.Server.FailureDomain(),
-			"address", c.Server.Address(), "revision", c.Revision, "source", source)
+			"address", c.Server.Address(), "software-version", c.SoftwareVersion, "revision", c.Revision, "source", source)
 	}
 }
 
