waxforward: resume a stream only at the software version that began it

Callers got answers joined from two software versions (ORDER): the first events from the engine that broke off, the rest from one of another version, with nothing in the answer to show it.

Cause: when a resumable stream breaks, the next engine was chosen among all of the service. An entry names the version of its engine, but nothing read it.

Change: the first event that reaches the caller pins the request to the version of its engine, and engines of other versions are passed over. Their load still counts for the mean. Without an engine of the version the stream is broken off, which the caller sees and may take up.

--- a/waxfleet/waxforward/forwarder.go
+++ b/waxfleet/waxforward/forwarder.go
@@ -123,6 +123,10 @@
 	sends        int
 	// runs is the number of sends after which the server may have run the request.
 	runs int
+	// version is the software version that began the stream; only its servers may go on. It
+	// is set once pinned is.
+	version string
+	pinned  bool
 	// entry is the entry of the server selected last, as of the selection.
 	entry waxfleet.BackendServerEntry
 	// digest identifies the request and the caller's retries of it.
--- a/waxfleet/waxforward/retry.go
+++ b/waxfleet/waxforward/retry.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"strconv"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
@@ -137,10 +138,14 @@
 // noServerError returns the error of a request for which no server is eligible. last is
 // the error of the last send, or nil.
 func (f *Forwarder) noServerError(req *requestState, reason string, last error) error {
-	e := waxfleet.NewError(waxfleet.CodeNoBackendServer, "no eligible backend server for %s: %s", req.service, reason)
+	service := req.service
+	if req.pinned {
+		service += " at software version " + strconv.Quote(req.version)
+	}
+	e := waxfleet.NewError(waxfleet.CodeNoBackendServer, "no eligible backend server for %s: %s", service, reason)
 	if last != nil {
 		e = waxfleet.WrapError(last, waxfleet.CodeNoBackendServer,
-			"no further eligible backend server for %s: %s", req.service, reason)
+			"no further eligible backend server for %s: %s", service, reason)
 	}
 	if req.runs > 0 {
 		return e.WithoutNotRun()
--- a/waxfleet/waxforward/select.go
+++ b/waxfleet/waxforward/select.go
@@ -46,7 +46,7 @@
 	for _, server := range servers {
 		state := f.servers.serverState(server.Entry(), connections)
 		others := counts[waxpeer.ServerHash(server.ID())]
-		if !server.AcceptsWork() {
+		if !server.AcceptsWork() || req.excludesVersion(server.Entry().SoftwareVersion()) {
 			candidates = append(candidates, waxpick.Candidate{
 				ID: server.ID(), Closed: true, Down: state.health.Down(now), Load: state.inFlight + others.InFlight,
 			})
