waxforward: take a stream up at the service that began it

On a route with a traffic split, a caller's take-up has an attempt ID of its own and was split by that: it could go on at another service than the one that began the stream.

The service is now chosen by the ID of the attempt that began the stream, which the take-up names. If the route leads to another service meanwhile, the take-up is refused at once, where the service that began the stream is known.

--- a/waxfleet/waxforward/forwarder.go
+++ b/waxfleet/waxforward/forwarder.go
@@ -217,7 +217,7 @@
 	if err := f.authenticate(req); err != nil {
 		return err
 	}
-	req.service = waxtable.ServiceOf(route, req.inbound.ID)
+	req.service = waxtable.ServiceOf(route, req.streamID())
 	req.promptKey = waxcache.NewKey(req.inbound.PromptParts)
 	timeout := defaultTimeout
 	if req.inbound.Timeout > 0 {
--- a/waxfleet/waxforward/origin.go
+++ b/waxfleet/waxforward/origin.go
@@ -23,7 +23,7 @@
 	if req.route.Kind() != waxfleet.KindStream || req.inbound.LastEventID < 0 {
 		return nil
 	}
-	stream := waxorigin.StreamHash(req.inbound.Resumes)
+	stream := waxorigin.StreamHash(req.streamID())
 	source := "own"
 	o, known := f.opts.Origins.Origin(stream)
 	if !known {
@@ -41,10 +41,21 @@
 	if !known {
 		return waxfleet.NewError(waxfleet.CodeOriginUnknown, "software version that began the stream is unknown")
 	}
+	if o.Service() != req.service {
+		return waxfleet.NewError(waxfleet.CodeNoBackendServer, "stream began at service %s, and its route leads to %s", o.Service(), req.service)
+	}
 	req.pin(o.Version())
 	return nil
 }
 
+// streamID returns the ID of the attempt that began the stream of the request.
+func (req *requestState) streamID() string {
+	if req.inbound.LastEventID >= 0 && req.inbound.Resumes != "" {
+		return req.inbound.Resumes
+	}
+	return req.inbound.ID
+}
+
 // onlyVersion returns the software version that began the stream of the request, if there
 // is only one that may have.
 func (f *Forwarder) onlyVersion(req *requestState) (string, bool) {
@@ -69,15 +80,8 @@
 	if !req.route.Resumable() {
 		return
 	}
-	attempt, timeout := req.inbound.ID, req.deadline-req.arrivedAt
-	if req.inbound.LastEventID >= 0 {
-		attempt = req.inbound.Resumes
-	}
-	if attempt == "" {
-		return
-	}
-	expiresAt := req.arrivedAt + max(timeout, req.inbound.Timeout) + originMargin
-	o := waxorigin.NewOrigin(waxorigin.StreamHash(attempt), req.service, req.version, expiresAt)
+	expiresAt := max(req.deadline, req.arrivedAt+req.inbound.Timeout) + originMargin
+	o := waxorigin.NewOrigin(waxorigin.StreamHash(req.streamID()), req.service, req.version, expiresAt)
 	f.opts.Origins.Record(o)
 	if f.opts.Versions.Ambiguous(req.service, takeUpAge(req.route)) {
 		f.opts.TellOrigins(o)
--- a/waxfleet/waxorigin/streams.go
+++ b/waxfleet/waxorigin/streams.go
@@ -26,8 +26,8 @@
 	expiresAt waxfleet.Millis
 }
 
-// NewOrigin returns the origin of a stream. service is empty if it is not known. After
-// expiresAt, the caller no longer takes the stream up.
+// NewOrigin returns the origin of a stream. After expiresAt, the caller no longer takes the
+// stream up.
 func NewOrigin(stream uint64, service, version string, expiresAt waxfleet.Millis) Origin {
 	return Origin{stream: stream, service: service, version: version, expiresAt: expiresAt}
 }
@@ -35,6 +35,9 @@
 // Stream returns the hash of the stream.
 func (o Origin) Stream() uint64 { return o.stream }
 
+// Service returns the service that began the stream.
+func (o Origin) Service() string { return o.service }
+
 // Version returns the software version that began the stream.
 func (o Origin) Version() string { return o.version }
 
@@ -77,7 +80,7 @@
 	return o, ok && s.clock.Now() < o.expiresAt
 }
 
-// Of returns the origins of the streams of a service that began at this instance.
+// Of returns the origins of the streams of a service.
 func (s *Streams) Of(service string) []Origin {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/waxfleet/waxpeer/origins.go
+++ b/waxfleet/waxpeer/origins.go
@@ -19,8 +19,8 @@
 	originHolders = 6
 	// originTimeout is the timeout of a query for the origin of a stream.
 	originTimeout waxfleet.Millis = 150
-	// maxOrigins is the maximum number of origins in a datagram; each takes about 30 bytes.
-	maxOrigins = 40
+	// maxOrigins is the maximum number of origins in a datagram; each takes about 40 bytes.
+	maxOrigins = 25
 )
 
 // originQueries holds the queries that wait for replies.
@@ -124,7 +124,7 @@
 	now := e.opts.Clock.Now()
 	out := make([]*waxwire.StreamOrigin, 0, len(origins))
 	for _, o := range origins {
-		out = append(out, &waxwire.StreamOrigin{Stream: o.Stream(), Version: o.Version(), RemainingMs: int64(o.ExpiresAt() - now)})
+		out = append(out, &waxwire.StreamOrigin{Stream: o.Stream(), Service: o.Service(), Version: o.Version(), RemainingMs: int64(o.ExpiresAt() - now)})
 	}
 	return out
 }
@@ -133,7 +133,7 @@
 func (e *Exchanger) applyOrigins(d *waxwire.LoadDatagram, sender *net.UDPAddr) {
 	now := e.opts.Clock.Now()
 	for _, o := range d.GetOrigins() {
-		e.opts.Origins.Record(waxorigin.NewOrigin(o.GetStream(), "", o.GetVersion(), now+waxfleet.Millis(o.GetRemainingMs())))
+		e.opts.Origins.Record(waxorigin.NewOrigin(o.GetStream(), o.GetService(), o.GetVersion(), now+waxfleet.Millis(o.GetRemainingMs())))
 		e.queries.reply(o.GetStream(), true)
 	}
 	for _, stream := range d.GetUnknownOrigins() {
