waxforward: log whether this instance reaches any backend server

From the log of an instance, a cut between it and all backend servers can't be told from servers that are down for everybody. LinkHealth suspects a cut when two servers in a row refuse connections, or when none sends a byte while requests are unanswered; a check connects to three servers in different failure domains and decides. Instances tell each other the result in their datagrams, and the log line says how many others reach servers. Nothing decides by it yet.

--- a/waxfleet/waxforward/server.go
+++ b/waxfleet/waxforward/server.go
@@ -52,6 +52,9 @@
 	servers  map[string]*serverState
 	services map[string]*serviceState
 	domains  map[string]*domainState
+	link     waxpick.LinkHealth
+	// linkChecks is the number of checks of the link; each begins with other servers.
+	linkChecks uint32
 }
 
 // NewServers returns a Servers without any server.
@@ -155,6 +158,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.domainState(e.Server().FailureDomain()).health.RecordActivity(s.clock.Now())
+	s.link.RecordActivity(s.clock.Now())
 }
 
 // releasePending subtracts the prompt tokens of a send that has ended or whose
@@ -193,6 +197,7 @@
 	if effect == effectNone {
 		return
 	}
+	s.link.RecordConnection(state.entry.Server().ID(), effect != effectUnreachable)
 	if effect == effectUnreachable {
 		state.health.RecordUnreachable(now)
 	}
--- a/waxfleet/waxfront/instance.go
+++ b/waxfleet/waxfront/instance.go
@@ -39,6 +39,8 @@
 	// sweepInterval is the interval between two sweeps of missing backend servers and
 	// idle connections to backend servers.
 	sweepInterval waxfleet.Millis = 500
+	// linkInterval is the interval between two looks at the link to backend servers.
+	linkInterval waxfleet.Millis = 100
 	// readHeaderTimeout is the timeout for reading a request header, and idleTimeout the
 	// timeout of an idle connection. Both exceed the limits that configurations set for
 	// callers.
@@ -178,16 +180,17 @@
 			FailureDomain: settings.FailureDomain,
 			Address:       inst.peerAddress(),
 		},
-		Clock:          opts.Clock,
-		Log:            opts.Log,
-		Counts:         inst.servers.Counts,
-		CacheIndex:     inst.cacheIndex,
-		Crashes:        inst.crashes,
-		Limits:         inst.limits,
-		Origins:        inst.origins,
-		Revisions:      inst.replicas.changeRevisions,
-		ConfigVersion:  inst.configVersion,
-		StoreReachable: func() bool { return inst.replicas.storeReachable() && inst.table.Load() != nil },
+		Clock:              opts.Clock,
+		Log:                opts.Log,
+		Counts:             inst.servers.Counts,
+		CacheIndex:         inst.cacheIndex,
+		Crashes:            inst.crashes,
+		Limits:             inst.limits,
+		Origins:            inst.origins,
+		Revisions:          inst.replicas.changeRevisions,
+		ConfigVersion:      inst.configVersion,
+		ServersUnreachable: inst.servers.CutOff,
+		StoreReachable:     func() bool { return inst.replicas.storeReachable() && inst.table.Load() != nil },
 	})
 	if err != nil {
 		return nil, err
@@ -198,6 +201,7 @@
 	inst.startFollowers(ctx)
 	go func() { inst.catchUp(ctx) }()
 	go func() { inst.sweep(ctx) }()
+	go func() { inst.checkLink(ctx) }()
 	go func() { inst.register(ctx) }()
 	return inst, nil
 }
@@ -383,6 +387,13 @@
 	}
 }
 
+// checkLink checks periodically whether this instance is cut off from all backend servers.
+func (inst *Instance) checkLink(ctx context.Context) {
+	for inst.opts.Clock.Sleep(ctx, linkInterval) == nil {
+		inst.forwarder.CheckLink(ctx)
+	}
+}
+
 // checkRegistered signals that the entry of this instance has to be written, if the
 // registry of instances does not hold it.
 func (inst *Instance) checkRegistered() {
--- a/waxfleet/waxpeer/exchanger.go
+++ b/waxfleet/waxpeer/exchanger.go
@@ -79,6 +79,8 @@
 	ConfigVersion func() uint64
 	// StoreReachable reports whether the store responds to this instance.
 	StoreReachable func() bool
+	// ServersUnreachable reports whether this instance is cut off from all backend servers.
+	ServersUnreachable func() bool
 	// CacheIndex records which engines have which prompt parts in their caches.
 	CacheIndex *waxcache.Index
 	// Limits holds the rate limits that backend servers name.
@@ -470,6 +472,8 @@
 		Revisions:     encodeRevisions(e.opts.Revisions()),
 		ConfigVersion: e.opts.ConfigVersion(),
 		StoreAnswers:  e.opts.StoreReachable(),
+
+		ServersUnreachable: e.opts.ServersUnreachable(),
 	}
 	if sequenced {
 		e.mu.Lock()
--- a/waxfleet/waxpeer/loads.go
+++ b/waxfleet/waxpeer/loads.go
@@ -59,6 +59,8 @@
 	configVersion uint64
 	// storeReachable is true when the store responded to the instance.
 	storeReachable bool
+	// serversUnreachable is true when the instance is cut off from all backend servers.
+	serversUnreachable bool
 }
 
 // Loads holds the load of all other instances: one report for each instance of the own
@@ -102,6 +104,8 @@
 		revisions:      decodeRevisions(d.GetRevisions()),
 		configVersion:  d.GetConfigVersion(),
 		storeReachable: d.GetStoreAnswers(),
+
+		serversUnreachable: d.GetServersUnreachable(),
 	}
 	r.asOf = now
 	r.byServer = decodeCounts(d.GetOwn())
@@ -280,6 +284,24 @@
 	return ok && r.storeReachable
 }
 
+// ServerLinks returns how many instances heard from within peerTimeout reach backend
+// servers, and how many are cut off from all of them.
+func (l *Loads) ServerLinks() (reaching, cutOff int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	for _, r := range l.reports {
+		switch {
+		case now-r.asOf >= peerTimeout:
+		case r.serversUnreachable:
+			cutOff++
+		default:
+			reaching++
+		}
+	}
+	return reaching, cutOff
+}
+
 // Revisions returns the highest revision of a change that another instance has seen, for
 // each feed in the order of the datagrams.
 func (l *Loads) Revisions() []waxfleet.Revision {
--- a/waxfleet/waxpick/pick_test.go
+++ b/waxfleet/waxpick/pick_test.go
@@ -13,7 +13,7 @@
 // TestChoice runs the scripts in testdata. Each script describes its load
 // pattern.
 func TestChoice(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/choice", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			candidates, excluded := parseCandidates(t, d.Input)
 			switch d.Cmd {
