waxforward: send requests through another instance while no backend server is reachable

Cause: each instance sends to backend servers itself, and nothing led from one that can't to one that can. It stayed in rotation and refused at once what it could not send. Ruled out as the whole answer: reporting that it is not ready. Callers keep their open connections, and the load balancer uses all instances of a failure domain once fewer than half of them are ready. Not the cause here: slow detection; the connections were refused within milliseconds.

Change: an instance that finds itself cut off (LinkHealth) sends each request as it came to another one that reaches servers, in rendezvous order of the request, so that the load spreads. That one authenticates, places and answers it like a request of its own callers, and does not send it on again. A stream that breaks off with its peer is taken up through another one. Idle connections to servers are closed at the cut, and servers are tried at once after it.

--- a/waxfleet/protocol.go
+++ b/waxfleet/protocol.go
@@ -87,6 +87,12 @@
 	DecodeRequest(r *http.Request) RequestHead
 	// BackendHeader returns the header of a request to a backend server.
 	BackendHeader(in RequestHead, out ForwardInfo) http.Header
+	// PeerHeader returns the header of a caller's request that another instance is to
+	// forward.
+	PeerHeader(in RequestHead) http.Header
+	// MarkPeerError adds to the header of an error response for another instance that it
+	// belongs to the attempt.
+	MarkPeerError(h http.Header, attempt string)
 	// DecodeResponse decodes the header of a response.
 	DecodeResponse(status int, h http.Header) ResponseHead
 	// CallerHeader returns the header fields of a response that are forwarded to
--- a/waxfleet/waxforward/forwarder.go
+++ b/waxfleet/waxforward/forwarder.go
@@ -70,6 +70,10 @@
 	// TellOrigins tells other instances of the origins of streams, and AskOrigin asks them.
 	TellOrigins func(origins ...waxorigin.Origin)
 	AskOrigin   func(ctx context.Context, stream uint64) (waxorigin.Origin, bool)
+	// Peers returns other instances that may reach backend servers while this one does not,
+	// in the order in which a request with the key is sent to them, with the addresses of
+	// their PeerHandlers.
+	Peers func(key uint64) []waxpeer.Peer
 	// HearsFleet reports whether most other instances were heard from recently.
 	HearsFleet func() bool
 	// Table returns the current configuration, or nil before the first one is
@@ -137,6 +141,10 @@
 	// is set once pinned is.
 	version string
 	pinned  bool
+	// fromPeer is true if another instance has sent the request on, and peer is the name of
+	// the instance to which this one does.
+	fromPeer bool
+	peer     string
 	// entry is the entry of the server selected last, as of the selection.
 	entry waxfleet.BackendServerEntry
 	// digest identifies the request and the caller's retries of it.
@@ -172,7 +180,10 @@
 }
 
 // ServeHTTP handles one request of a caller.
-func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) { f.serve(w, r, false) }
+
+// serve handles one request of a caller, or one that another instance has sent on.
+func (f *Forwarder) serve(w http.ResponseWriter, r *http.Request, fromPeer bool) {
 	f.active.Add(1)
 	defer f.active.Add(-1)
 	req := &requestState{
@@ -183,8 +194,10 @@
 		host:         r.Host,
 		triedServers: map[string]bool{},
 		runsAtCheck:  -1,
+		fromPeer:     fromPeer,
 		response:     newResponseWriter(w, r, f.opts.Protocol, f.opts.Clock),
 	}
+	req.response.fromPeer = fromPeer
 	if f.opts.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
@@ -328,7 +341,7 @@
 	now := f.opts.Clock.Now()
 	attrs := []any{
 		"request", req.inbound.ID, "route", req.route.Name(), "service", req.service, "workspace", req.workspace.Name,
-		"server", req.entry.Server().ID(), "software-version", req.entry.SoftwareVersion(), "resumes", req.inbound.Resumes, "sends", req.sends, "runs", req.runs, "code", int(code), "outcome", code.Name(),
+		"server", req.entry.Server().ID(), "software-version", req.entry.SoftwareVersion(), "resumes", req.inbound.Resumes, "from-peer", req.fromPeer, "sends", req.sends, "runs", req.runs, "code", int(code), "outcome", code.Name(),
 		"status", req.response.status, "framed", req.framed, "last-event", req.response.lastEventID, "first-byte-ms", int64(req.response.timeToHeader(req.arrivedAt)), "total-ms", int64(now - req.arrivedAt),
 	}
 	if req.table != nil {
--- a/waxfleet/waxforward/link.go
+++ b/waxfleet/waxforward/link.go
@@ -92,5 +92,17 @@
 func (s *Servers) endLinkCheck(reachable bool) (changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.link.EndCheck(s.clock.Now(), reachable)
+	changed = s.link.EndCheck(s.clock.Now(), reachable)
+	if !changed {
+		return false
+	}
+	for _, state := range s.servers {
+		if reachable {
+			state.health.RecordReachable()
+			continue
+		}
+		// Requests on idle connections would hang, also for a while after the cut.
+		state.pool.CloseIdle()
+	}
+	return true
 }
--- a/waxfleet/waxforward/origin.go
+++ b/waxfleet/waxforward/origin.go
@@ -20,7 +20,7 @@
 
 // pinVersion pins a request that takes a stream up to the software version that began it.
 func (f *Forwarder) pinVersion(ctx context.Context, req *requestState) error {
-	if req.route.Kind() != waxfleet.KindStream || req.inbound.LastEventID < 0 {
+	if req.pinned || req.route.Kind() != waxfleet.KindStream || req.inbound.LastEventID < 0 {
 		return nil
 	}
 	stream := waxorigin.StreamHash(req.streamID())
--- a/waxfleet/waxforward/relay.go
+++ b/waxfleet/waxforward/relay.go
@@ -61,7 +61,7 @@
 			"server responded with status %d without stating that the request has not run", resp.Status)
 	case req.response.headerSent():
 		return resultMayHaveRun, waxfleet.NewError(waxfleet.CodeStreamIncomplete, "server responded with status %d to the stream resumption", resp.Status)
-	case resp.Status >= 500 && f.mayRetry(req, resultServerFailure):
+	case resp.Status >= 500 && req.peer == "" && f.mayRetry(req, resultServerFailure):
 		return resultServerFailure, waxfleet.NewError(waxfleet.CodeBackendError, "server responded with status %d", resp.Status)
 	}
 	if whole {
@@ -148,8 +148,10 @@
 		}
 		if id > newest {
 			newest = id
-			f.servers.recordActivity(req.entry)
-			f.recordProgress(req)
+			if req.peer == "" {
+				f.servers.recordActivity(req.entry)
+				f.recordProgress(req)
+			}
 			if timer != nil {
 				timer.Reset(gap.Duration())
 			}
@@ -161,7 +163,9 @@
 			return resultMayHaveRun, waxfleet.NewError(waxfleet.CodeAnswerMismatch, "event %d follows event %d", id, req.response.lastEventID)
 		}
 		if !req.response.headerSent() {
-			f.recordOrigin(req)
+			if req.peer == "" {
+				f.recordOrigin(req)
+			}
 			req.response.writeHeader(resp, -1)
 		}
 		if err := req.response.write(event); err != nil {
@@ -194,9 +198,10 @@
 }
 
 // eventTimeout returns the timeout for the next event, after which another server resumes
-// the stream. 0 means that the request waits until its deadline.
+// the stream. 0 means that the request waits until its deadline, for example because
+// another instance watches the stream.
 func (f *Forwarder) eventTimeout(req *requestState) waxfleet.Millis {
-	if !req.route.Resumable() || req.runs >= req.route.MaxAttempts() || req.route.EventGapObjective() <= 0 {
+	if req.peer != "" || !req.route.Resumable() || req.runs >= req.route.MaxAttempts() || req.route.EventGapObjective() <= 0 {
 		return 0
 	}
 	return max(minServerTimeout, eventGapFactor*req.route.EventGapObjective())
--- a/waxfleet/waxforward/responsewriter.go
+++ b/waxfleet/waxforward/responsewriter.go
@@ -25,6 +25,8 @@
 	http10 bool
 	// closeDelimited is true if the response ends with the caller's connection.
 	closeDelimited bool
+	// fromPeer is true if the response goes to another instance.
+	fromPeer bool
 }
 
 func newResponseWriter(w http.ResponseWriter, r *http.Request, protocol waxfleet.Protocol, clock *waxfleet.Clock) *responseWriter {
@@ -143,6 +145,9 @@
 	if retryAfter > 0 && status == http.StatusServiceUnavailable {
 		h.Set("Retry-After", strconv.FormatFloat(float64(retryAfter)/1000, 'f', 3, 64))
 	}
+	if rw.fromPeer {
+		rw.protocol.MarkPeerError(h, id)
+	}
 	rw.w.WriteHeader(status)
 	// A write error is ignored: a disconnect of the caller is detected elsewhere.
 	_, _ = rw.w.Write(raw)
--- a/waxfleet/waxforward/retry.go
+++ b/waxfleet/waxforward/retry.go
@@ -34,19 +34,18 @@
 	resultServerFailure
 	// resultCallerDisconnected means that the caller disconnected.
 	resultCallerDisconnected
+	// resultPeerFailure means that another instance has given up on the request.
+	resultPeerFailure
 )
 
 // String returns the value that appears in logs.
 func (r result) String() string {
-	return [...]string{"done", "not-sent", "not-run", "may-have-run", "server-failure", "caller-left"}[r]
+	return [...]string{"done", "not-sent", "not-run", "may-have-run", "server-failure", "caller-left", "peer-failure"}[r]
 }
 
 // forward sends the request to one server after the other until one responds or no
 // further send is allowed.
 func (f *Forwarder) forward(ctx context.Context, req *requestState) error {
-	if err := f.pinVersion(ctx, req); err != nil {
-		return err
-	}
 	var last error
 	for {
 		if err := f.recheckKey(req); err != nil {
@@ -55,6 +54,12 @@
 		if err := f.checkBan(req); err != nil {
 			return err
 		}
+		if handled, err := f.forwardToPeers(ctx, req); handled {
+			return err
+		}
+		if err := f.pinVersion(ctx, req); err != nil {
+			return err
+		}
 		state, choice := f.selectServer(req)
 		if state == nil {
 			if choice.Reason == waxpick.ReasonColdRate {
--- a/waxfleet/waxfront/drain.go
+++ b/waxfleet/waxfront/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"waxwingdrift.org/waxfleet"
 )
@@ -46,7 +47,7 @@
 		}
 	}()
 	inst.awaitOutOfRotation(ctx, started)
-	err := inst.callerServer.Shutdown(ctx)
+	err := errors.Join(inst.callerServer.Shutdown(ctx), inst.peerServer.Shutdown(ctx))
 	inst.log.Info("stopped", "active", inst.forwarder.Active(), "after-ms", int64(clock.Now()-started))
 	if err != nil {
 		return waxfleet.WrapError(err, waxfleet.CodeStopping, "%d requests did not finish within the grace period", inst.forwarder.Active())
--- a/waxfleet/waxfront/instance.go
+++ b/waxfleet/waxfront/instance.go
@@ -41,6 +41,9 @@
 	sweepInterval waxfleet.Millis = 500
 	// linkInterval is the interval between two looks at the link to backend servers.
 	linkInterval waxfleet.Millis = 100
+	// forwardPortOffset is the offset from the first peer port to the one on which requests
+	// of other instances are forwarded.
+	forwardPortOffset = 1
 	// readHeaderTimeout is the timeout for reading a request header, and idleTimeout the
 	// timeout of an idle connection. Both exceed the limits that configurations set for
 	// callers.
@@ -98,6 +101,7 @@
 	forwarder    *waxforward.Forwarder
 	metrics      *metrics
 	callerServer *http.Server
+	peerServer   *http.Server
 	idle         *idleConns
 
 	mu        sync.Mutex
@@ -166,6 +170,7 @@
 		AskOrigin: func(ctx context.Context, stream uint64) (waxorigin.Origin, bool) {
 			return inst.exchanger.AskOrigin(ctx, stream)
 		},
+		Peers:      inst.forwardingPeers,
 		HearsFleet: func() bool { return inst.exchanger.HearsFleet() },
 		Table:      inst.table.Load,
 		Bounds:     inst.forwardBounds,
@@ -206,6 +211,23 @@
 	return inst, nil
 }
 
+// forwardingPeers returns instances that may forward requests for this one, with the
+// addresses at which they do.
+func (inst *Instance) forwardingPeers(key uint64) []waxpeer.Peer {
+	peers := inst.exchanger.ReachingServers(key)
+	out := make([]waxpeer.Peer, 0, len(peers))
+	for _, p := range peers {
+		host, port, err := net.SplitHostPort(p.Address)
+		first, perr := strconv.Atoi(port)
+		if err != nil || perr != nil {
+			continue // the entry of another program version
+		}
+		p.Address = net.JoinHostPort(host, strconv.Itoa(first+forwardPortOffset))
+		out = append(out, p)
+	}
+	return out
+}
+
 // configVersion returns the version of the configuration in force; 0 before the first one.
 func (inst *Instance) configVersion() uint64 {
 	if t := inst.table.Load(); t != nil {
@@ -237,6 +259,13 @@
 	ready.GET(inst.opts.ReadyPath, inst.serveReady)
 	peers := echo.New()
 	peers.GET("/metrics", echo.WrapHandler(inst.metrics.handler))
+	inst.peerServer = &http.Server{
+		Handler:           inst.forwarder.PeerHandler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(inst.log.Handler(), slog.LevelDebug),
+	}
 	path, handler := waxreplica.NewServer(inst.replicas.byFeed)
 	peers.Any(path+"*", echo.WrapHandler(handler))
 	path, handler = waxwireconnect.NewInspectionHandler(&inspectionHandler{instance: inst})
@@ -251,13 +280,18 @@
 			ReadHeaderTimeout: readHeaderTimeout,
 			IdleTimeout:       idleTimeout,
 		}},
+		{net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPeerPort+forwardPortOffset)), inst.peerServer},
 		{inst.peerAddress(), &http.Server{Handler: peers, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}},
 	} {
+		if l.server == inst.peerServer && settings.FirstPeerPort+forwardPortOffset > settings.LastPeerPort {
+			inst.log.Warn("no port to forward requests of other instances", "first-port", settings.FirstPeerPort, "last-port", settings.LastPeerPort)
+			continue
+		}
 		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", l.address)
 		if err != nil {
 			return waxfleet.WrapError(err, waxfleet.CodeSettingInvalid, "failed to open address %q", l.address)
 		}
-		if l.server != inst.callerServer {
+		if l.server != inst.callerServer && l.server != inst.peerServer {
 			context.AfterFunc(ctx, func() { _ = l.server.Close() })
 		}
 		go func() {
--- a/waxfleet/waxpeer/exchanger.go
+++ b/waxfleet/waxpeer/exchanger.go
@@ -380,6 +380,30 @@
 	return known
 }
 
+// ReachingServers returns other instances that may reach backend servers while this one does
+// not, each part in the rendezvous order of the key: those of the group that say so, and
+// then those outside of the group, of which this instance doesn't know.
+func (e *Exchanger) ReachingServers(key uint64) []Peer {
+	group := e.Topology().Group
+	timeout := followTimeout(len(group))
+	inGroup := make(map[string]bool, len(group))
+	var reaching, unknown []Peer
+	for _, p := range group {
+		inGroup[p.Name] = true
+		if e.loads.reachesServers(p.Name, timeout) {
+			reaching = append(reaching, p)
+		}
+	}
+	for _, p := range e.otherPeers() {
+		if !inGroup[p.Name] {
+			unknown = append(unknown, p)
+		}
+	}
+	sortByWeight(key, reaching)
+	sortByWeight(key, unknown)
+	return append(reaching, unknown...)
+}
+
 // HearsFleet reports whether at least half of the instances of the group were heard from
 // recently, so that this instance is not cut off.
 func (e *Exchanger) HearsFleet() bool {
--- a/waxfleet/waxpeer/loads.go
+++ b/waxfleet/waxpeer/loads.go
@@ -284,6 +284,13 @@
 	return ok && r.storeReachable
 }
 
+// reachesServers reports whether the named instance was heard from within the timeout and
+// is not cut off from all backend servers.
+func (l *Loads) reachesServers(name string, timeout waxfleet.Millis) bool {
+	r, ok := l.recentReport(name, timeout)
+	return ok && !r.serversUnreachable
+}
+
 // ServerLinks returns how many instances heard from within peerTimeout reach backend
 // servers, and how many are cut off from all of them.
 func (l *Loads) ServerLinks() (reaching, cutOff int) {
--- a/waxfleet/waxpeer/origins.go
+++ b/waxfleet/waxpeer/origins.go
@@ -80,10 +80,15 @@
 // holders returns the instances that are told of a stream.
 func (e *Exchanger) holders(stream uint64) []Peer {
 	peers := slices.Clone(e.otherPeers())
+	sortByWeight(stream, peers)
+	return peers[:min(originHolders, len(peers))]
+}
+
+// sortByWeight sorts peers by descending rendezvous weight for the key.
+func sortByWeight(key uint64, peers []Peer) {
 	slices.SortFunc(peers, func(a, b Peer) int {
-		return -cmp.Compare(waxplace.Weight(stream, NameHash(a.Name)), waxplace.Weight(stream, NameHash(b.Name)))
+		return -cmp.Compare(waxplace.Weight(key, NameHash(a.Name)), waxplace.Weight(key, NameHash(b.Name)))
 	})
-	return peers[:min(originHolders, len(peers))]
 }
 
 // TellOrigins tells other instances of the origins of streams, so that callers can take
--- a/waxfleet/waxpick/health.go
+++ b/waxfleet/waxpick/health.go
@@ -54,6 +54,9 @@
 	h.downUntil = now + h.backoffDelay
 }
 
+// RecordReachable ends the backoff.
+func (h *Health) RecordReachable() { h.downUntil, h.backoffDelay = 0, 0 }
+
 // Down reports whether the server is backing off and gets no request.
 func (h *Health) Down(now waxfleet.Millis) bool { return now < h.downUntil }
 
--- a/waxfleet/waxpool/pool.go
+++ b/waxfleet/waxpool/pool.go
@@ -199,6 +199,13 @@
 func (p *Pool) Close() {
 	p.mu.Lock()
 	p.closed = true
+	p.mu.Unlock()
+	p.CloseIdle()
+}
+
+// CloseIdle closes the idle connections.
+func (p *Pool) CloseIdle() {
+	p.mu.Lock()
 	idle := p.idle
 	p.idle = nil
 	p.mu.Unlock()
--- a/waxfleet/waxpool/pool_test.go
+++ b/waxfleet/waxpool/pool_test.go
@@ -42,6 +42,10 @@
 
 func (plainProtocol) CallerHeader(h http.Header) http.Header { return h }
 
+func (plainProtocol) PeerHeader(waxfleet.RequestHead) http.Header { return nil }
+
+func (plainProtocol) MarkPeerError(http.Header, string) {}
+
 // serveScript runs a server with one conversation per connection. The server sends the
 // responses of the conversation, one for each request, and closes the connection. A
 // response that begins with "early " is sent before the request is read; then the server
