waxforward: count only new connections as proof that servers are reachable

Cause: a request on an open connection cleared the servers known to refuse new ones, so that no check of the link began. Ruled out: a peer that refuses what it could serve; the refusing instances had no server left either, and their log has no check.

--- a/waxfleet/waxforward/send.go
+++ b/waxfleet/waxforward/send.go
@@ -31,6 +31,9 @@
 	if err != nil {
 		return resultNotSent, err
 	}
+	if conn.New() {
+		f.servers.recordOpened(state)
+	}
 	id := req.entry.Server().ID()
 	if !f.opts.Directory.AcceptsWork(id, req.entry.StartUnixMilli()) {
 		conn.Discard()
--- a/waxfleet/waxforward/server.go
+++ b/waxfleet/waxforward/server.go
@@ -161,6 +161,13 @@
 	s.link.RecordActivity(s.clock.Now())
 }
 
+// recordOpened records that a connection to a server was opened.
+func (s *Servers) recordOpened(state *serverState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.link.RecordConnection(state.entry.Server().ID(), true)
+}
+
 // releasePending subtracts the prompt tokens of a send that has ended or whose
 // response has started.
 func (s *Servers) releasePending(state *serverState, tokens int) {
@@ -197,8 +204,8 @@
 	if effect == effectNone {
 		return
 	}
-	s.link.RecordConnection(state.entry.Server().ID(), effect != effectUnreachable)
 	if effect == effectUnreachable {
+		s.link.RecordConnection(state.entry.Server().ID(), false)
 		state.health.RecordUnreachable(now)
 	}
 	state.health.Record(now, effect == effectSuccess)
--- a/waxfleet/waxpool/conn.go
+++ b/waxfleet/waxpool/conn.go
@@ -101,6 +101,9 @@
 	}
 }
 
+// New reports whether the connection was opened for the next request.
+func (c *Conn) New() bool { return c.useCount == 0 && c.idleUntil == 0 }
+
 // Reused reports whether the connection has carried a request before.
 func (c *Conn) Reused() bool { return c.useCount > 1 }
 
