waxforward: blame no request for a crash while no other server is reachable

Cause: a connection that ends, and a new one that is refused, counted as the crash of the server. A cut between an instance and all servers that resets connections looks the same: the request is sent again to a second server, whose open connection is reset too, and two crashes ban it. Ruled out: prompt parts; all four bans were of whole requests.

Change: before a crash is recorded, the instance connects to three other servers in different failure domains. If none accepts, nothing is blamed.

--- a/waxfleet/waxforward/link.go
+++ b/waxfleet/waxforward/link.go
@@ -9,8 +9,8 @@
 	"waxwingdrift.org/waxfleet"
 )
 
-// linkTargets is the number of servers to which a check of the link opens connections.
-const linkTargets = 3
+// maxLinkTargets is the number of servers to which a check of the link opens connections.
+const maxLinkTargets = 3
 
 // CheckLink checks whether this instance is cut off from all backend servers, if that is
 // due. It is called periodically.
@@ -19,19 +19,7 @@
 	if targets == nil {
 		return
 	}
-	var wg sync.WaitGroup
-	errs := make([]error, len(targets))
-	for i, state := range targets {
-		wg.Go(func() { errs[i] = state.pool.Probe(ctx) })
-	}
-	wg.Wait()
-	unreachable := 0
-	for _, err := range errs {
-		if waxfleet.CodeOf(err) == waxfleet.CodePeerUnreachable {
-			unreachable++
-		}
-	}
-	reachable := unreachable < len(targets)
+	reachable := f.connects(ctx, targets)
 	if !f.servers.endLinkCheck(reachable) {
 		return
 	}
@@ -40,6 +28,18 @@
 		"instances-reaching", reaching, "instances-cut-off", cutOff)
 }
 
+// connects opens new connections to servers, and reports whether any of them may be
+// reachable.
+func (f *Forwarder) connects(ctx context.Context, targets []*serverState) bool {
+	var wg sync.WaitGroup
+	errs := make([]error, len(targets))
+	for i, state := range targets {
+		wg.Go(func() { errs[i] = state.pool.Probe(ctx) })
+	}
+	wg.Wait()
+	return slices.ContainsFunc(errs, func(err error) bool { return waxfleet.CodeOf(err) != waxfleet.CodePeerUnreachable })
+}
+
 // CutOff reports whether this instance is cut off from all backend servers.
 func (s *Servers) CutOff() bool {
 	s.mu.Lock()
@@ -47,19 +47,29 @@
 	return s.link.CutOff()
 }
 
-// startLinkCheck returns servers to connect to, if a check of the link is due: those that
-// are not known to be down first, in different failure domains.
+// startLinkCheck returns servers to connect to, if a check of the link is due.
 func (s *Servers) startLinkCheck() []*serverState {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.clock.Now()
-	if len(s.servers) == 0 || !s.link.StartCheck(now) {
+	due := len(s.servers) > 0 && s.link.StartCheck(s.clock.Now())
+	s.mu.Unlock()
+	if !due {
 		return nil
 	}
+	return s.linkTargets(nil)
+}
+
+// linkTargets returns servers whose connections show whether this instance reaches any, but
+// for one: those that are not known to be down first, in different failure domains.
+func (s *Servers) linkTargets(except *serverState) []*serverState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
 	s.linkChecks++
 	states := make([]*serverState, 0, len(s.servers))
 	for _, state := range s.servers {
-		states = append(states, state)
+		if state != except {
+			states = append(states, state)
+		}
 	}
 	slices.SortFunc(states, func(a, b *serverState) int {
 		return cmp.Or(compareBool(a.health.Down(now), b.health.Down(now)),
@@ -73,7 +83,7 @@
 		seen[domain]++
 	}
 	slices.SortStableFunc(states, func(a, b *serverState) int { return cmp.Compare(order[a], order[b]) })
-	return states[:min(linkTargets, len(states))]
+	return states[:min(maxLinkTargets, len(states))]
 }
 
 // compareBool orders false before true.
--- a/waxfleet/waxforward/server.go
+++ b/waxfleet/waxforward/server.go
@@ -53,7 +53,7 @@
 	services map[string]*serviceState
 	domains  map[string]*domainState
 	link     waxpick.LinkHealth
-	// linkChecks is the number of checks of the link; each begins with other servers.
+	// linkChecks counts the calls of linkTargets; each begins with other servers.
 	linkChecks uint32
 }
 
--- a/waxfleet/waxforward/suspect.go
+++ b/waxfleet/waxforward/suspect.go
@@ -118,6 +118,10 @@
 		if !refused(err) {
 			traits = traits[len(traits)-1:]
 		}
+		if !f.reachesOthers(ctx, state) {
+			f.opts.Log.Warn("server not reached, nor any other", "request", id, "server", entry.Server().ID())
+			return
+		}
 		incarnation := xxhash.Sum64String(entry.Server().ID() + "/" + strconv.FormatInt(entry.StartUnixMilli(), 10))
 		changes := f.opts.Crashes.RecordCrash(max(incarnation, 1), traits, sentAt, diedAt)
 		f.opts.FlushUpdates()
@@ -128,6 +132,14 @@
 	}()
 }
 
+// reachesOthers reports whether this instance reaches any other server. If not, the network
+// was probably cut, and a refused connection does not show that its server crashed. It
+// reports true without another server.
+func (f *Forwarder) reachesOthers(ctx context.Context, state *serverState) bool {
+	others := f.servers.linkTargets(state)
+	return len(others) == 0 || f.connects(ctx, others)
+}
+
 // recordAnswer records that a server began to answer a request with the traits, and did
 // not crash.
 func (f *Forwarder) recordAnswer(traits []waxcrash.Trait) {
