waxforward: find out for each service whether its servers can be reached

An instance that has no path to the engines of one service, but to servers of another, refused the callers of the first: a check of the link met the other servers and saw nothing wrong.

The link is now watched and checked for each service, instances tell each other the services that they can't reach, and send those requests alone through others. At most three instances that say they reach the service are tried, and two that are not known: where the servers are down for all, each would refuse.

--- a/waxfleet/waxforward/forwarder.go
+++ b/waxfleet/waxforward/forwarder.go
@@ -70,10 +70,10 @@
 	// TellOrigins tells other instances of the origins of streams, and AskOrigin asks them.
 	TellOrigins func(origins ...waxorigin.Origin)
 	AskOrigin   func(ctx context.Context, stream uint64) (waxorigin.Origin, bool)
-	// Peers returns other instances that may reach backend servers while this one does not,
-	// in the order in which a request with the key is sent to them, with the addresses of
-	// their PeerHandlers.
-	Peers func(key uint64) []waxpeer.Peer
+	// Peers returns other instances that may reach servers of the service while this one
+	// does not, in the order in which a request with the key is sent to them, with the
+	// addresses of their PeerHandlers.
+	Peers func(service string, key uint64) []waxpeer.Peer
 	// HearsFleet reports whether most other instances were heard from recently.
 	HearsFleet func() bool
 	// Table returns the current configuration, or nil before the first one is
--- a/waxfleet/waxforward/link.go
+++ b/waxfleet/waxforward/link.go
@@ -7,24 +7,31 @@
 	"sync"
 
 	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxpeer"
 )
 
 // maxLinkTargets is the number of servers to which a check of the link opens connections.
 const maxLinkTargets = 3
 
-// CheckLink checks whether this instance is cut off from all backend servers, if that is
-// due. It is called periodically.
-func (f *Forwarder) CheckLink(ctx context.Context) {
-	targets := f.servers.startLinkCheck()
-	if targets == nil {
-		return
+// CheckLinks checks for each service whether this instance is cut off from all of its
+// servers, if that is due. It is called periodically.
+func (f *Forwarder) CheckLinks(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, service := range f.servers.startLinkChecks() {
+		wg.Go(func() { f.checkLink(ctx, service) })
 	}
-	reachable := f.connects(ctx, targets)
-	if !f.servers.endLinkCheck(reachable) {
+	wg.Wait()
+}
+
+// checkLink checks whether this instance is cut off from all servers of a service.
+func (f *Forwarder) checkLink(ctx context.Context, service string) {
+	targets := f.servers.linkTargets(service, nil)
+	reachable := len(targets) == 0 || f.connects(ctx, targets)
+	if !f.servers.endLinkCheck(service, reachable) {
 		return
 	}
-	reaching, cutOff := f.opts.Loads.ServerLinks()
-	f.opts.Log.Warn("reachability of backend servers changed", "reachable", reachable, "tried", len(targets),
+	reaching, cutOff := f.opts.Loads.ServiceLinks(waxpeer.NameHash(service))
+	f.opts.Log.Warn("reachability of backend servers changed", "service", service, "reachable", reachable, "tried", len(targets),
 		"instances-reaching", reaching, "instances-cut-off", cutOff)
 }
 
@@ -40,79 +47,102 @@
 	return slices.ContainsFunc(errs, func(err error) bool { return waxfleet.CodeOf(err) != waxfleet.CodePeerUnreachable })
 }
 
-// CutOff reports whether this instance is cut off from all backend servers.
-func (s *Servers) CutOff() bool {
+// UnreachableServices returns the hashes of the services from all of whose servers this
+// instance is cut off.
+func (s *Servers) UnreachableServices() []uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []uint64
+	for name, svc := range s.services {
+		if svc.link.CutOff() {
+			out = append(out, waxpeer.NameHash(name))
+		}
+	}
+	return out
+}
+
+// cutOff reports whether this instance is cut off from all servers of a service.
+func (s *Servers) cutOff(service string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.link.CutOff()
+	svc := s.services[service]
+	return svc != nil && svc.link.CutOff()
 }
 
-// startLinkCheck returns servers to connect to, if a check of the link is due.
-func (s *Servers) startLinkCheck() []*serverState {
+// startLinkChecks returns the services for which a check of the link is due.
+func (s *Servers) startLinkChecks() []string {
 	s.mu.Lock()
-	due := len(s.servers) > 0 && s.link.StartCheck(s.clock.Now())
-	s.mu.Unlock()
-	if !due {
-		return nil
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	var due []string
+	for name, svc := range s.services {
+		if svc.link.StartCheck(now) {
+			due = append(due, name)
+		}
 	}
-	return s.linkTargets(nil)
+	return due
 }
 
-// linkTargets returns servers whose connections show whether this instance reaches any, but
-// for one: those that are not known to be down first, in different failure domains.
-func (s *Servers) linkTargets(except *serverState) []*serverState {
+// linkTargets returns servers of a service whose connections show whether this instance
+// reaches any, but for one: those that are not known to be down first, in different failure
+// domains.
+func (s *Servers) linkTargets(service string, except *serverState) []*serverState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
 	s.linkChecks++
-	states := make([]*serverState, 0, len(s.servers))
+	type target struct {
+		state *serverState
+		// order is the position in the failure domain.
+		order int
+		// down is 1 for a server that is known to be down.
+		down int
+		tie  uint32
+	}
+	var targets []target
 	for _, state := range s.servers {
-		if state != except {
-			states = append(states, state)
+		if state == except || state.entry.Server().Service() != service {
+			continue
+		}
+		// An odd factor gives each check another order.
+		t := target{state: state, tie: state.incarnationHash * (2*s.linkChecks + 1)}
+		if state.health.Down(now) {
+			t.down = 1
 		}
+		targets = append(targets, t)
 	}
-	slices.SortFunc(states, func(a, b *serverState) int {
-		return cmp.Or(compareBool(a.health.Down(now), b.health.Down(now)),
-			cmp.Compare(a.incarnationHash*s.linkChecks, b.incarnationHash*s.linkChecks))
-	})
+	slices.SortFunc(targets, func(a, b target) int { return cmp.Or(cmp.Compare(a.down, b.down), cmp.Compare(a.tie, b.tie)) })
 	seen := map[string]int{}
-	order := make(map[*serverState]int, len(states))
-	for _, state := range states {
-		domain := state.entry.Server().FailureDomain()
-		order[state] = seen[domain]
+	for i, t := range targets {
+		domain := t.state.entry.Server().FailureDomain()
+		targets[i].order = seen[domain]
 		seen[domain]++
 	}
-	slices.SortStableFunc(states, func(a, b *serverState) int { return cmp.Compare(order[a], order[b]) })
-	return states[:min(maxLinkTargets, len(states))]
-}
-
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
+	slices.SortStableFunc(targets, func(a, b target) int { return cmp.Compare(a.order, b.order) })
+	var out []*serverState
+	for _, t := range targets[:min(maxLinkTargets, len(targets))] {
+		out = append(out, t.state)
 	}
-	return 1
+	return out
 }
 
 // endLinkCheck records the result of a check. It reports whether the instance is now cut
 // off and was not, or the reverse.
-func (s *Servers) endLinkCheck(reachable bool) (changed bool) {
+func (s *Servers) endLinkCheck(service string, reachable bool) (changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changed = s.link.EndCheck(s.clock.Now(), reachable)
-	if !changed {
+	if !s.serviceState(service).link.EndCheck(s.clock.Now(), reachable) {
 		return false
 	}
 	for _, state := range s.servers {
-		if reachable {
+		switch {
+		case state.entry.Server().Service() != service:
+		case reachable:
 			state.health.RecordReachable()
-			continue
+		default:
+			// Requests on idle connections would hang, also for a while after the cut.
+			state.pool.CloseIdle()
 		}
-		// Requests on idle connections would hang, also for a while after the cut.
-		state.pool.CloseIdle()
 	}
 	return true
 }
--- a/waxfleet/waxforward/peer.go
+++ b/waxfleet/waxforward/peer.go
@@ -14,29 +14,24 @@
 	"waxwingdrift.org/waxfleet/waxpool"
 )
 
-const (
-	// maxPeers is the maximum number of other instances that a request is sent to.
-	maxPeers = 3
-	// maxPeerErrorBytes is the maximum size of an error response of another instance.
-	maxPeerErrorBytes = 16 << 10
-)
+// maxPeerErrorBytes is the maximum size of an error response of another instance.
+const maxPeerErrorBytes = 16 << 10
 
 // PeerHandler returns the handler for requests that other instances send on, because they
-// are cut off from all backend servers. Such a request is not sent on again.
+// are cut off from the servers of the service. Such a request is not sent on again.
 func (f *Forwarder) PeerHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.serve(w, r, true) })
 }
 
 // forwardToPeers sends the request to other instances while this one is cut off from all
-// backend servers. It reports false if none got the request.
+// servers of its service. It reports false if none got the request.
 func (f *Forwarder) forwardToPeers(ctx context.Context, req *requestState) (handled bool, err error) {
-	if req.fromPeer || !f.servers.CutOff() {
+	if req.fromPeer || !f.servers.cutOff(req.service) {
 		return false, nil
 	}
 	defer func() { req.peer = "" }()
 	var last error
-	peers := f.opts.Peers(xxhash.Sum64String(req.inbound.ID))
-	for _, p := range peers[:min(maxPeers, len(peers))] {
+	for _, p := range f.opts.Peers(req.service, xxhash.Sum64String(req.inbound.ID)) {
 		req.peer = p.Name
 		res, err := f.sendToPeer(ctx, req, p)
 		if res == resultComplete {
--- a/waxfleet/waxforward/select.go
+++ b/waxfleet/waxforward/select.go
@@ -84,7 +84,7 @@
 	}
 	state.inFlight++
 	f.servers.domainState(state.entry.Server().FailureDomain()).health.RecordSent(now)
-	f.servers.link.RecordSent(now, choice.ID)
+	svc.link.RecordSent(now, choice.ID)
 	req.entry = state.entry
 	req.cacheSource = f.cacheSource(state, cached)
 	req.prefillTokens = max(0, req.inbound.PromptTokens-cached[state.incarnationHash])
--- a/waxfleet/waxforward/server.go
+++ b/waxfleet/waxforward/server.go
@@ -33,6 +33,7 @@
 type serviceState struct {
 	health  waxpick.Health
 	retries waxquota.RetryBudget
+	link    waxpick.LinkHealth
 }
 
 // domainState is the local state of a failure domain.
@@ -52,7 +53,6 @@
 	servers  map[string]*serverState
 	services map[string]*serviceState
 	domains  map[string]*domainState
-	link     waxpick.LinkHealth
 	// linkChecks counts the calls of linkTargets; each begins with other servers.
 	linkChecks uint32
 }
@@ -158,14 +158,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.domainState(e.Server().FailureDomain()).health.RecordActivity(s.clock.Now())
-	s.link.RecordActivity(s.clock.Now())
+	s.serviceState(e.Server().Service()).link.RecordActivity(s.clock.Now())
 }
 
 // recordOpened records that a connection to a server was opened.
 func (s *Servers) recordOpened(state *serverState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.link.RecordConnection(state.entry.Server().ID(), true)
+	s.serviceState(state.entry.Server().Service()).link.RecordConnection(state.entry.Server().ID(), true)
 }
 
 // releasePending subtracts the prompt tokens of a send that has ended or whose
@@ -205,7 +205,7 @@
 		return
 	}
 	if effect == effectUnreachable {
-		s.link.RecordConnection(state.entry.Server().ID(), false)
+		s.serviceState(serviceName).link.RecordConnection(state.entry.Server().ID(), false)
 		state.health.RecordUnreachable(now)
 	}
 	state.health.Record(now, effect == effectSuccess)
--- a/waxfleet/waxforward/suspect.go
+++ b/waxfleet/waxforward/suspect.go
@@ -132,11 +132,11 @@
 	}()
 }
 
-// reachesOthers reports whether this instance reaches any other server. If not, the network
-// was probably cut, and a refused connection does not show that its server crashed. It
-// reports true without another server.
+// reachesOthers reports whether this instance reaches any other server of the service. If
+// not, the network was probably cut, and a refused connection does not show that its server
+// crashed. It reports true without another server.
 func (f *Forwarder) reachesOthers(ctx context.Context, state *serverState) bool {
-	others := f.servers.linkTargets(state)
+	others := f.servers.linkTargets(state.entry.Server().Service(), state)
 	return len(others) == 0 || f.connects(ctx, others)
 }
 
--- a/waxfleet/waxfront/instance.go
+++ b/waxfleet/waxfront/instance.go
@@ -185,17 +185,17 @@
 			FailureDomain: settings.FailureDomain,
 			Address:       inst.peerAddress(),
 		},
-		Clock:              opts.Clock,
-		Log:                opts.Log,
-		Counts:             inst.servers.Counts,
-		CacheIndex:         inst.cacheIndex,
-		Crashes:            inst.crashes,
-		Limits:             inst.limits,
-		Origins:            inst.origins,
-		Revisions:          inst.replicas.changeRevisions,
-		ConfigVersion:      inst.configVersion,
-		ServersUnreachable: inst.servers.CutOff,
-		StoreReachable:     func() bool { return inst.replicas.storeReachable() && inst.table.Load() != nil },
+		Clock:               opts.Clock,
+		Log:                 opts.Log,
+		Counts:              inst.servers.Counts,
+		CacheIndex:          inst.cacheIndex,
+		Crashes:             inst.crashes,
+		Limits:              inst.limits,
+		Origins:             inst.origins,
+		Revisions:           inst.replicas.changeRevisions,
+		ConfigVersion:       inst.configVersion,
+		UnreachableServices: inst.servers.UnreachableServices,
+		StoreReachable:      func() bool { return inst.replicas.storeReachable() && inst.table.Load() != nil },
 	})
 	if err != nil {
 		return nil, err
@@ -206,15 +206,15 @@
 	inst.startFollowers(ctx)
 	go func() { inst.catchUp(ctx) }()
 	go func() { inst.sweep(ctx) }()
-	go func() { inst.checkLink(ctx) }()
+	go func() { inst.checkLinks(ctx) }()
 	go func() { inst.register(ctx) }()
 	return inst, nil
 }
 
 // forwardingPeers returns instances that may forward requests for this one, with the
 // addresses at which they do.
-func (inst *Instance) forwardingPeers(key uint64) []waxpeer.Peer {
-	peers := inst.exchanger.ReachingServers(key)
+func (inst *Instance) forwardingPeers(service string, key uint64) []waxpeer.Peer {
+	peers := inst.exchanger.ReachingService(service, key)
 	out := make([]waxpeer.Peer, 0, len(peers))
 	for _, p := range peers {
 		host, port, err := net.SplitHostPort(p.Address)
@@ -421,10 +421,11 @@
 	}
 }
 
-// checkLink checks periodically whether this instance is cut off from all backend servers.
-func (inst *Instance) checkLink(ctx context.Context) {
+// checkLinks checks periodically whether this instance is cut off from the servers of a
+// service.
+func (inst *Instance) checkLinks(ctx context.Context) {
 	for inst.opts.Clock.Sleep(ctx, linkInterval) == nil {
-		inst.forwarder.CheckLink(ctx)
+		inst.forwarder.CheckLinks(ctx)
 	}
 }
 
--- a/waxfleet/waxpeer/exchanger.go
+++ b/waxfleet/waxpeer/exchanger.go
@@ -61,6 +61,10 @@
 	// maxReportDatagrams is the maximum number of datagrams with crash reports, and of
 	// those with rate limits, that are sent at once.
 	maxReportDatagrams = 16
+	// maxReaching and maxUnknown are the maximum numbers of instances that ReachingService
+	// returns: if servers are down for all instances, each of them would refuse the request.
+	maxReaching = 3
+	maxUnknown  = 2
 	// snapshotSenders is the number of instances that send all cache entries, crash reports
 	// and rate limits to a peer that has just started.
 	snapshotSenders = 2
@@ -79,8 +83,9 @@
 	ConfigVersion func() uint64
 	// StoreReachable reports whether the store responds to this instance.
 	StoreReachable func() bool
-	// ServersUnreachable reports whether this instance is cut off from all backend servers.
-	ServersUnreachable func() bool
+	// UnreachableServices returns the hashes of the services from all of whose servers this
+	// instance is cut off.
+	UnreachableServices func() []uint64
 	// CacheIndex records which engines have which prompt parts in their caches.
 	CacheIndex *waxcache.Index
 	// Limits holds the rate limits that backend servers name.
@@ -380,17 +385,17 @@
 	return known
 }
 
-// ReachingServers returns other instances that may reach backend servers while this one does
-// not, each part in the rendezvous order of the key: those of the group that say so, and
-// then those outside of the group, of which this instance doesn't know.
-func (e *Exchanger) ReachingServers(key uint64) []Peer {
+// ReachingService returns other instances that may reach servers of a service while this one
+// does not, each part in the rendezvous order of the key: those of the group that are not
+// cut off, and then those outside of the group, of which this instance doesn't know.
+func (e *Exchanger) ReachingService(service string, key uint64) []Peer {
 	group := e.Topology().Group
-	timeout := followTimeout(len(group))
+	timeout, hash := followTimeout(len(group)), NameHash(service)
 	inGroup := make(map[string]bool, len(group))
 	var reaching, unknown []Peer
 	for _, p := range group {
 		inGroup[p.Name] = true
-		if e.loads.reachesServers(p.Name, timeout) {
+		if e.loads.reachesService(p.Name, hash, timeout) {
 			reaching = append(reaching, p)
 		}
 	}
@@ -401,7 +406,7 @@
 	}
 	sortByWeight(key, reaching)
 	sortByWeight(key, unknown)
-	return append(reaching, unknown...)
+	return append(reaching[:min(maxReaching, len(reaching))], unknown[:min(maxUnknown, len(unknown))]...)
 }
 
 // HearsFleet reports whether at least half of the instances of the group were heard from
@@ -497,7 +502,7 @@
 		ConfigVersion: e.opts.ConfigVersion(),
 		StoreAnswers:  e.opts.StoreReachable(),
 
-		ServersUnreachable: e.opts.ServersUnreachable(),
+		UnreachableServices: e.opts.UnreachableServices(),
 	}
 	if sequenced {
 		e.mu.Lock()
--- a/waxfleet/waxpeer/loads.go
+++ b/waxfleet/waxpeer/loads.go
@@ -5,6 +5,7 @@
 package waxpeer
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -59,8 +60,9 @@
 	configVersion uint64
 	// storeReachable is true when the store responded to the instance.
 	storeReachable bool
-	// serversUnreachable is true when the instance is cut off from all backend servers.
-	serversUnreachable bool
+	// unreachableServices holds the services from all of whose servers the instance is cut
+	// off.
+	unreachableServices []uint64
 }
 
 // Loads holds the load of all other instances: one report for each instance of the own
@@ -105,7 +107,7 @@
 		configVersion:  d.GetConfigVersion(),
 		storeReachable: d.GetStoreAnswers(),
 
-		serversUnreachable: d.GetServersUnreachable(),
+		unreachableServices: d.GetUnreachableServices(),
 	}
 	r.asOf = now
 	r.byServer = decodeCounts(d.GetOwn())
@@ -284,23 +286,23 @@
 	return ok && r.storeReachable
 }
 
-// reachesServers reports whether the named instance was heard from within the timeout and
-// is not cut off from all backend servers.
-func (l *Loads) reachesServers(name string, timeout waxfleet.Millis) bool {
+// reachesService reports whether the named instance was heard from within the timeout and
+// is not cut off from all servers of the service.
+func (l *Loads) reachesService(name string, service uint64, timeout waxfleet.Millis) bool {
 	r, ok := l.recentReport(name, timeout)
-	return ok && !r.serversUnreachable
+	return ok && !slices.Contains(r.unreachableServices, service)
 }
 
-// ServerLinks returns how many instances heard from within peerTimeout reach backend
-// servers, and how many are cut off from all of them.
-func (l *Loads) ServerLinks() (reaching, cutOff int) {
+// ServiceLinks returns how many instances heard from within peerTimeout reach servers of the
+// service, and how many are cut off from all of them.
+func (l *Loads) ServiceLinks(service uint64) (reaching, cutOff int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
 	for _, r := range l.reports {
 		switch {
 		case now-r.asOf >= peerTimeout:
-		case r.serversUnreachable:
+		case slices.Contains(r.unreachableServices, service):
 			cutOff++
 		default:
 			reaching++
--- a/waxfleet/waxpeer/peer_test.go
+++ b/waxfleet/waxpeer/peer_test.go
@@ -109,18 +109,18 @@
 	start := func(name string, cacheIndex *waxcache.Index, inFlight int) *Loads {
 		loads := NewLoads(clock, "caerdydd")
 		e, err := NewExchanger(ctx, loads, Options{
-			Self:               Peer{Name: name, FailureDomain: "caerdydd", Address: addresses[name]},
-			Clock:              clock,
-			Log:                slog.New(slog.NewTextHandler(io.Discard, nil)),
-			Counts:             func() map[uint32]ServerLoad { return map[uint32]ServerLoad{ServerHash("e1"): {InFlight: inFlight}} },
-			Revisions:          func() []waxfleet.Revision { return []waxfleet.Revision{waxfleet.Revision(inFlight)} },
-			ConfigVersion:      func() uint64 { return uint64(inFlight) },
-			ServersUnreachable: func() bool { return false },
-			StoreReachable:     func() bool { return name == "r1" },
-			CacheIndex:         cacheIndex,
-			Crashes:            crashes[name],
-			Limits:             limits[name],
-			Origins:            waxorigin.NewStreams(clock),
+			Self:                Peer{Name: name, FailureDomain: "caerdydd", Address: addresses[name]},
+			Clock:               clock,
+			Log:                 slog.New(slog.NewTextHandler(io.Discard, nil)),
+			Counts:              func() map[uint32]ServerLoad { return map[uint32]ServerLoad{ServerHash("e1"): {InFlight: inFlight}} },
+			Revisions:           func() []waxfleet.Revision { return []waxfleet.Revision{waxfleet.Revision(inFlight)} },
+			ConfigVersion:       func() uint64 { return uint64(inFlight) },
+			UnreachableServices: func() []uint64 { return nil },
+			StoreReachable:      func() bool { return name == "r1" },
+			CacheIndex:          cacheIndex,
+			Crashes:             crashes[name],
+			Limits:              limits[name],
+			Origins:             waxorigin.NewStreams(clock),
 		})
 		is.NoErr(err)
 		e.SetPeers([]Peer{{
@@ -170,12 +170,12 @@
 		indexes[self.Name], ledgers[self.Name] = waxcache.NewIndex(), newLedger(clock)
 		e, err := NewExchanger(t.Context(), NewLoads(clock, self.FailureDomain), Options{
 			Self: self, Clock: clock, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
-			Counts:             func() map[uint32]ServerLoad { return nil },
-			Revisions:          func() []waxfleet.Revision { return nil },
-			ConfigVersion:      func() uint64 { return 0 },
-			ServersUnreachable: func() bool { return false },
-			StoreReachable:     func() bool { return true },
-			CacheIndex:         indexes[self.Name], Crashes: ledgers[self.Name], Limits: waxlimit.New(clock), Origins: waxorigin.NewStreams(clock),
+			Counts:              func() map[uint32]ServerLoad { return nil },
+			Revisions:           func() []waxfleet.Revision { return nil },
+			ConfigVersion:       func() uint64 { return 0 },
+			UnreachableServices: func() []uint64 { return nil },
+			StoreReachable:      func() bool { return true },
+			CacheIndex:          indexes[self.Name], Crashes: ledgers[self.Name], Limits: waxlimit.New(clock), Origins: waxorigin.NewStreams(clock),
 		})
 		is.NoErr(err)
 		e.SetPeers(peers)
--- a/waxfleet/waxpick/link.go
+++ b/waxfleet/waxpick/link.go
@@ -3,7 +3,7 @@
 import "waxwingdrift.org/waxfleet"
 
 const (
-	// linkSilence is the time without a byte from any backend server after which this
+	// linkSilence is the time without a byte from any server of the service after which this
 	// instance may be cut off from all of them, if several have not answered for so long.
 	// It is longer for a single one, which may be slow.
 	linkSilence       waxfleet.Millis = 500
@@ -15,7 +15,7 @@
 	linkCheckInterval waxfleet.Millis = 500
 )
 
-// LinkHealth detects that this instance is partitioned from all backend servers, while
+// LinkHealth detects that this instance is partitioned from all servers of a service, while
 // callers and other instances still reach it. What it sees itself only raises a suspicion:
 // a check, which opens connections to several servers, decides. It isn't safe for
 // concurrent use.
