waxdirectory: send nothing to a server that says in a response that it leaves

The incarnation now gets no new work from the instance that has read it. A new entry of the same incarnation changes nothing; a restarted server is used again.

--- a/waxfleet/protocol.go
+++ b/waxfleet/protocol.go
@@ -77,6 +77,8 @@
 	// none.
 	RateLimit float64
 	Limited   bool
+	// Leaving reports that the server is shutting down.
+	Leaving bool
 }
 
 // Protocol translates between HTTP headers and the types of this package. It makes
--- a/waxfleet/waxdirectory/directory.go
+++ b/waxfleet/waxdirectory/directory.go
@@ -105,6 +105,9 @@
 	hadOutage        bool
 	// removals holds the removed servers by name.
 	removals map[string]removal
+	// leaving holds the start times of servers that have said in a response that they are
+	// leaving, by name. Their entries may say so later, or never.
+	leaving map[string]int64
 	// staleEntries holds the entries of removed and leaving servers that a restored store has
 	// again, until staleUntil.
 	staleEntries map[string]waxfleet.Record[waxfleet.BackendServerEntry]
@@ -124,6 +127,7 @@
 		lostEvacuations: map[string]bool{},
 		domainColdUntil: map[string]waxfleet.Millis{},
 		removals:        map[string]removal{},
+		leaving:         map[string]int64{},
 		staleEntries:    map[string]waxfleet.Record[waxfleet.BackendServerEntry]{},
 	}
 }
@@ -276,6 +280,7 @@
 // remove removes a server. The caller holds the lock.
 func (d *Directory) remove(s *Server) {
 	delete(d.servers, s.ID())
+	delete(d.leaving, s.ID())
 	d.removals[s.ID()] = removal{startUnixMilli: s.entry.StartUnixMilli(), at: d.clock.Now()}
 }
 
@@ -382,6 +387,9 @@
 // the lock.
 func (d *Directory) acceptsWork(s *Server) bool {
 	server := s.entry.Server()
+	if start, ok := d.leaving[server.ID()]; ok && start == s.entry.StartUnixMilli() {
+		return false
+	}
 	return server.State() == waxfleet.StateLive && !d.evacuated[server.FailureDomain()]
 }
 
@@ -423,6 +431,19 @@
 	return s != nil && d.acceptsWork(s)
 }
 
+// RecordLeaving records that an incarnation has said in a response that it is leaving. It
+// reports whether that is new.
+func (d *Directory) RecordLeaving(id string, startUnixMilli int64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.find(id, startUnixMilli)
+	if s == nil || !d.acceptsWork(s) {
+		return false
+	}
+	d.leaving[id] = startUnixMilli
+	return true
+}
+
 // Count returns the number of known servers.
 func (d *Directory) Count() int {
 	d.mu.Lock()
--- a/waxfleet/waxforward/send.go
+++ b/waxfleet/waxforward/send.go
@@ -74,6 +74,9 @@
 	release()
 	f.servers.recordActivity(req.entry)
 	f.recordLimit(state, resp)
+	if resp.Head.Leaving && !resp.Head.Misdirected && f.opts.Directory.RecordLeaving(id, req.entry.StartUnixMilli()) {
+		f.opts.Log.Info("backend server says that it leaves", "request", req.inbound.ID, "server", id)
+	}
 	if resp.Head.NotRun || resp.Head.Misdirected {
 		req.runs--
 		f.releaseRejected(conn, resp)
