waxforward: leave servers alone for as long as they ask for

A server that has not run a request and names a time gets nothing from this instance until then, 10 minutes at most. When all servers have asked for a pause, requests are refused at once with the shortest remaining time as Retry-After.

--- a/waxfleet/protocol.go
+++ b/waxfleet/protocol.go
@@ -77,6 +77,9 @@
 	// none.
 	RateLimit float64
 	Limited   bool
+	// RetryAfter is the time for which a server that has not run the request wants nothing
+	// from this instance; 0 when the response names none.
+	RetryAfter Millis
 	// Leaving reports that the server is shutting down.
 	Leaving bool
 }
--- a/waxfleet/waxforward/select.go
+++ b/waxfleet/waxforward/select.go
@@ -179,8 +179,13 @@
 }
 
 // applyLimit sets OverLimit of a candidate, and shortens req.rateDelay to the time until
-// its rate limit allows a request. The caller holds the lock.
+// the server takes a request. The caller holds the lock.
 func (f *Forwarder) applyLimit(req *requestState, c *waxpick.Candidate, state *serverState, instances []string, now waxfleet.Millis) {
+	if wait := state.pausedUntil - now; wait > 0 {
+		c.OverLimit = true
+		req.shortenRateDelay(wait)
+		return
+	}
 	perSecond, limited := f.opts.Limits.Limit(state.incarnationHash)
 	if !limited {
 		return
@@ -188,7 +193,14 @@
 	rate, burst := f.limitShare(perSecond, c.ID, instances)
 	wait := state.limitBucket.Wait(now, rate, burst)
 	c.OverLimit = wait != 0
-	if wait > 0 && (req.rateDelay < 0 || wait < req.rateDelay) {
+	if wait > 0 {
+		req.shortenRateDelay(wait)
+	}
+}
+
+// shortenRateDelay shortens rateDelay to wait.
+func (req *requestState) shortenRateDelay(wait waxfleet.Millis) {
+	if req.rateDelay < 0 || wait < req.rateDelay {
 		req.rateDelay = wait
 	}
 }
--- a/waxfleet/waxforward/send.go
+++ b/waxfleet/waxforward/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"sync"
 	"time"
 
@@ -79,6 +80,10 @@
 	}
 	if resp.Head.NotRun || resp.Head.Misdirected {
 		req.runs--
+		if resp.Head.RetryAfter > 0 && resp.Status == http.StatusServiceUnavailable {
+			f.servers.pause(state, resp.Head.RetryAfter)
+			f.opts.Log.Info("backend server asks for a pause", "request", req.inbound.ID, "server", id, "pause-ms", int64(resp.Head.RetryAfter))
+		}
 		f.releaseRejected(conn, resp)
 		return resultNotRun, waxfleet.NewError(waxfleet.CodeOverloaded, "%s responded with status %d without running the request", id, resp.Status)
 	}
--- a/waxfleet/waxforward/server.go
+++ b/waxfleet/waxforward/server.go
@@ -27,6 +27,8 @@
 	// limitBucket holds this instance's share of the rate limit that the server names.
 	limitBucket waxquota.TokenBucket
 	health      waxpick.Health
+	// pausedUntil is the end of the time for which the server wants no requests.
+	pausedUntil waxfleet.Millis
 }
 
 // serviceState is the local state of a service.
@@ -168,6 +170,16 @@
 	s.serviceState(state.entry.Server().Service()).link.RecordConnection(state.entry.Server().ID(), true)
 }
 
+// pause records that a server wants no requests for some time.
+func (s *Servers) pause(state *serverState, d waxfleet.Millis) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state.pausedUntil = max(state.pausedUntil, s.clock.Now()+min(d, maxPause))
+}
+
+// maxPause bounds the time for which a server gets no requests because it asked for it.
+const maxPause waxfleet.Millis = 600_000
+
 // releasePending subtracts the prompt tokens of a send that has ended or whose
 // response has started.
 func (s *Servers) releasePending(state *serverState, tokens int) {
