waxforward: keep to the slots of servers that say that they are brittle

Nothing read the header: instances fill queues by counts that are late, and a request that one server rejects goes on to the next.

While a service's servers say so, an instance sends to one of them only within its share of the slots (SlotShare; the shares add up to the slots), or while it is known to be mostly idle. A server that has rejected a request gets none from that instance for a second, longer in large fleets, so that all instances together cause no more than N rejections. What can't be placed is refused at once.

--- a/waxfleet/protocol.go
+++ b/waxfleet/protocol.go
@@ -80,6 +80,10 @@
 	// RetryAfter is the time for which a server that has not run the request wants nothing
 	// from this instance; 0 when the response names none.
 	RetryAfter Millis
+	// Brittle reports that the servers of the service fall over when they have to reject
+	// more than MaxRejects requests in a second because they are full.
+	Brittle    bool
+	MaxRejects int
 	// Leaving reports that the server is shutting down.
 	Leaving bool
 }
--- a/waxfleet/waxforward/select.go
+++ b/waxfleet/waxforward/select.go
@@ -57,6 +57,10 @@
 		f.applyLimit(req, &candidate, state, instances, now)
 		candidate.Degraded = candidate.Degraded || f.domainUnreachable(candidate.FailureDomain, unreachable, now)
 		candidate.Load = state.inFlight + others.InFlight
+		if now < svc.brittleUntil && !f.hasSlot(server.ID(), candidate.Slots, state.inFlight, candidate.Load, instances) {
+			candidate.OverLimit = true
+			req.shortenRateDelay(retryAfterOverloadDelay)
+		}
 		candidate.PendingTokens = state.pendingTokens + others.PendingTokens
 		candidate.CachedTokens = cached[state.incarnationHash]
 		candidates = append(candidates, candidate)
--- a/waxfleet/waxforward/send.go
+++ b/waxfleet/waxforward/send.go
@@ -75,11 +75,15 @@
 	release()
 	f.servers.recordActivity(req.entry)
 	f.recordLimit(state, resp)
+	f.recordBrittle(req, resp)
 	if resp.Head.Leaving && !resp.Head.Misdirected && f.opts.Directory.RecordLeaving(id, req.entry.StartUnixMilli()) {
 		f.opts.Log.Info("backend server says that it leaves", "request", req.inbound.ID, "server", id)
 	}
 	if resp.Head.NotRun || resp.Head.Misdirected {
 		req.runs--
+		if resp.Head.NotRun {
+			f.pauseRejecting(req, state)
+		}
 		if resp.Head.RetryAfter > 0 && resp.Status == http.StatusServiceUnavailable {
 			f.servers.pause(state, resp.Head.RetryAfter)
 			f.opts.Log.Info("backend server asks for a pause", "request", req.inbound.ID, "server", id, "pause-ms", int64(resp.Head.RetryAfter))
--- a/waxfleet/waxforward/server.go
+++ b/waxfleet/waxforward/server.go
@@ -36,6 +36,10 @@
 	health  waxpick.Health
 	retries waxquota.RetryBudget
 	link    waxpick.LinkHealth
+	// brittleUntil is the time until which the servers count as brittle, and maxRejects the
+	// number of requests that one of them may reject in a second.
+	brittleUntil waxfleet.Millis
+	maxRejects   int
 }
 
 // domainState is the local state of a failure domain.
--- a/waxfleet/waxquota/shares.go
+++ b/waxfleet/waxquota/shares.go
@@ -79,6 +79,17 @@
 	return b.PerSecond / float64(sharers), 1
 }
 
+// SlotShare returns how many of a server's slots an instance may use without knowing what
+// the others do. The shares of all instances add up to the slots.
+func SlotShare(slots int, server, instance string, instances []string) int {
+	n := max(len(instances), 1)
+	share := slots / n
+	if amongFirst(server, instance, instances, slots%n) {
+		share++
+	}
+	return share
+}
+
 // amongFirst reports whether the instance is one of the first n in the
 // rendezvous order of the server.
 func amongFirst(server, instance string, instances []string, n int) bool {
--- a/waxfleet/waxquota/shares_test.go
+++ b/waxfleet/waxquota/shares_test.go
@@ -164,3 +164,19 @@
 	b.Take(1, 1, 1)
 	is.Equal(b.Wait(1, 0, 1), waxfleet.Millis(-1))
 }
+
+// TestSlotSharesAddUp guards against instances that together use more slots of a server than
+// there are, or leave some unused.
+func TestSlotSharesAddUp(t *testing.T) {
+	is := is.New(t)
+	for _, n := range []int{1, 2, 7, 83, 295} {
+		instances := instanceNames(n)
+		for _, slots := range []int{1, 6, 32, 128} {
+			total := 0
+			for _, instance := range instances {
+				total += SlotShare(slots, "server-1", instance, instances)
+			}
+			is.Equal(total, slots)
+		}
+	}
+}
