waxpool: do not end connections to servers that are silent for two seconds

New on the users' pages: a sound engine may fall silent for a second or so and go on, and a TCP_USER_TIMEOUT that is set also decides when keep-alive probes give up, whatever their count. With 1.5 s, the second probe ended a connection 2 s after the last byte: a silence of 1.1 s that began just before the first probe cut a sound stream, and one of 1.5 s a request that had just been sent.

The user timeout is 3 s now, so that a silence of 2 s passes. Servers without power are noticed one second later while an answer is awaited; what can be repeated or resumed does not wait for that (waxforward's timeouts).

TestSilenceEndsConnection reads the options of a connection: 1.5 s before, 3 s after.

--- a/waxfleet/waxpool/pool.go
+++ b/waxfleet/waxpool/pool.go
@@ -15,13 +15,15 @@
 	// better choice.
 	dialTimeout waxfleet.Millis = 300
 	// userTimeout is the TCP user timeout, for which sent bytes may remain
-	// unacknowledged. It allows for a few retransmissions on a lossy link.
-	userTimeout waxfleet.Millis = 1_500
+	// unacknowledged. It allows for a few retransmissions on a lossy link, and for a server
+	// that is silent for up to two seconds and goes on.
+	userTimeout waxfleet.Millis = 3_000
 	// keepAliveInterval is the idle time before the first TCP keep-alive probe and the
-	// interval between probes. With keepAliveCount probes, a server without power or
-	// behind a partition is detected within three seconds while a response is awaited.
+	// interval between probes. With userTimeout, a server without power or behind a
+	// partition is detected after three seconds while a response is awaited; the number of
+	// probes does not count then.
 	keepAliveInterval = time.Second
-	keepAliveCount    = 2
+	keepAliveCount    = 3
 	// defaultIdleTimeout is the idle timeout of a connection when the server does not
 	// declare one.
 	defaultIdleTimeout waxfleet.Millis = 4_000
--- a/waxfleet/waxpool/pool_test.go
+++ b/waxfleet/waxpool/pool_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
 
 	"waxwingdrift.org/waxfleet"
 )
@@ -342,3 +343,31 @@
 		})
 	}
 }
+
+// TestSilenceEndsConnection guards against connections that the kernel ends while a sound
+// server is silent for up to two seconds. With a user timeout, keep-alive probes give up at
+// the first one after it, whatever their number, and the silence may begin just before the
+// first probe.
+func TestSilenceEndsConnection(t *testing.T) {
+	is := is.New(t)
+	const silence = 2 * time.Second
+	address, _ := serveScript(t, []string{""})
+	p := New(waxfleet.NewClock(), plainProtocol{}, address, 1)
+	conn, err := p.Get(t.Context())
+	is.NoErr(err)
+	defer conn.Discard()
+	raw, err := conn.Conn.(*net.TCPConn).SyscallConn()
+	is.NoErr(err)
+	option := func(name int) time.Duration {
+		var value int
+		is.NoErr(raw.Control(func(fd uintptr) {
+			value, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, name)
+		}))
+		is.NoErr(err)
+		return time.Duration(value)
+	}
+	userTimeout := option(unix.TCP_USER_TIMEOUT) * time.Millisecond
+	firstProbe := option(unix.TCP_KEEPIDLE) * time.Second
+	t.Logf("user timeout %v, first probe after %v", userTimeout, firstProbe)
+	is.True(userTimeout >= firstProbe+silence)
+}
