--- a/waxfleet/waxforward/brittle.go
+++ b/waxfleet/waxforward/brittle.go
@@ -20,7 +20,7 @@
 
 // recordBrittle records that the servers of a service are brittle.
 func (f *Forwarder) recordBrittle(req *requestState, resp *waxpool.Response) {
-	if !resp.Head.Brittle || resp.Head.Misdirected {
+	if !resp.Head.Brittle {
 		return
 	}
 	f.servers.mu.Lock()
--- a/waxfleet/waxforward/send.go
+++ b/waxfleet/waxforward/send.go
@@ -74,20 +74,9 @@
 	req.headerAt, req.framed = f.opts.Clock.Now(), resp.Framed()
 	release()
 	f.servers.recordActivity(req.entry)
-	f.recordLimit(state, resp)
-	f.recordBrittle(req, resp)
-	if resp.Head.Leaving && !resp.Head.Misdirected && f.opts.Directory.RecordLeaving(id, req.entry.StartUnixMilli()) {
-		f.opts.Log.Info("backend server says that it leaves", "request", req.inbound.ID, "server", id)
-	}
+	f.recordStatements(req, state, resp)
 	if resp.Head.NotRun || resp.Head.Misdirected {
 		req.runs--
-		if resp.Head.NotRun {
-			f.pauseRejecting(req, state)
-		}
-		if resp.Head.RetryAfter > 0 && resp.Status == http.StatusServiceUnavailable {
-			f.servers.pause(state, resp.Head.RetryAfter)
-			f.opts.Log.Info("backend server asks for a pause", "request", req.inbound.ID, "server", id, "pause-ms", int64(resp.Head.RetryAfter))
-		}
 		f.releaseRejected(conn, resp)
 		return resultNotRun, waxfleet.NewError(waxfleet.CodeOverloaded, "%s responded with status %d without running the request", id, resp.Status)
 	}
@@ -102,9 +91,30 @@
 	return res, err
 }
 
+// recordStatements records what the server says of itself in the header of a response.
+func (f *Forwarder) recordStatements(req *requestState, state *serverState, resp *waxpool.Response) {
+	if resp.Head.Misdirected {
+		return
+	}
+	id := req.entry.Server().ID()
+	f.recordLimit(state, resp)
+	f.recordBrittle(req, resp)
+	if resp.Head.Leaving && f.opts.Directory.RecordLeaving(id, req.entry.StartUnixMilli()) {
+		f.opts.Log.Info("backend server says that it leaves", "request", req.inbound.ID, "server", id)
+	}
+	if !resp.Head.NotRun {
+		return
+	}
+	f.pauseRejecting(req, state)
+	if resp.Head.RetryAfter > 0 && resp.Status == http.StatusServiceUnavailable {
+		f.servers.pause(state, resp.Head.RetryAfter)
+		f.opts.Log.Info("backend server asks for a pause", "request", req.inbound.ID, "server", id, "pause-ms", int64(resp.Head.RetryAfter))
+	}
+}
+
 // recordLimit records the rate limit that the server names, or no longer names.
 func (f *Forwarder) recordLimit(state *serverState, resp *waxpool.Response) {
-	if resp.Head.Misdirected || !f.opts.Limits.Record(state.incarnationHash, resp.Head.RateLimit, resp.Head.Limited) {
+	if !f.opts.Limits.Record(state.incarnationHash, resp.Head.RateLimit, resp.Head.Limited) {
 		return
 	}
 	f.opts.FlushUpdates()
