waxpool: reset a connection whose request is given up

Cause: the request was sent across a cut of the failure domain at 35.7 s, given up after its header timeout and served elsewhere at 36.6 s. The connection was closed in order, so that the kernel went on sending the bytes that the cut held up; they arrived at 41.975 s, three seconds after the cut. Ruled out: a choice of the leaving engine; the log of the instance has one send to another engine after 36 s.

A connection with a pending request is now reset, which drops the bytes. After a complete response it is closed in order as before.

TestAbandonedRequestArrivesLater: the server saw an orderly end before, now a reset.

--- a/waxfleet/waxpool/conn.go
+++ b/waxfleet/waxpool/conn.go
@@ -91,6 +91,8 @@
 
 	mu        sync.Mutex
 	discarded bool
+	// pending is true from the start of a request until its complete response was read.
+	pending bool
 }
 
 func newConn(conn net.Conn, protocol waxfleet.Protocol, pool *Pool) *Conn {
@@ -150,6 +152,7 @@
 // cases the request may have run.
 func (c *Conn) RoundTrip(r Request) (*Response, error) {
 	c.useCount++
+	c.setPending(true)
 	head := requestHead(r)
 	writeResult := make(chan error, 1)
 	switch {
@@ -236,6 +239,7 @@
 // Release returns the connection to its pool after the complete response was read. It
 // closes a connection that can't carry another request.
 func (c *Conn) Release(resp *Response) {
+	c.setPending(false)
 	select {
 	case err := <-resp.writeResult:
 		if err != nil || resp.Head.Close || resp.httpResponse.Close || c.reader.Buffered() > 0 {
@@ -258,15 +262,27 @@
 	c.pool.addIdle(c)
 }
 
-// Discard closes the connection. Further calls have no effect.
+func (c *Conn) setPending(pending bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pending = pending
+}
+
+// Discard closes the connection. While a request is pending, it resets the connection: after
+// an orderly close, bytes that the network holds up would still reach the server later.
+// Further calls have no effect.
 func (c *Conn) Discard() {
 	c.mu.Lock()
-	discarded := c.discarded
+	discarded, pending := c.discarded, c.pending
 	c.discarded = true
 	c.mu.Unlock()
 	if discarded {
 		return
 	}
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && pending {
+		// An error means that the connection is closed.
+		_ = tcp.SetLinger(0)
+	}
 	_ = c.Close()
 	c.pool.connClosed()
 }
--- a/waxfleet/waxpool/pool_test.go
+++ b/waxfleet/waxpool/pool_test.go
@@ -371,3 +371,31 @@
 	t.Logf("user timeout %v, first probe after %v", userTimeout, firstProbe)
 	is.True(userTimeout >= firstProbe+silence)
 }
+
+// TestAbandonedRequestArrivesLater guards against a request that was given up and reaches its
+// server seconds later, because the network had held it up: after an orderly close the kernel
+// goes on sending it.
+func TestAbandonedRequestArrivesLater(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	ended := make(chan error, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			ended <- err
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, err = io.Copy(io.Discard, conn)
+		ended <- err
+	}()
+	p := New(waxfleet.NewClock(), plainProtocol{}, l.Addr().String(), 1)
+	conn, err := p.Get(t.Context())
+	is.NoErr(err)
+	time.AfterFunc(50*time.Millisecond, conn.Discard)
+	_, err = conn.RoundTrip(Request{ID: "a", Method: "POST", Target: "/", Host: "h", Header: http.Header{}})
+	is.True(err != nil)
+	is.True(errors.Is(<-ended, syscall.ECONNRESET)) // nil: an orderly close
+}
