--- a/waxload/waxcheck/harness.go
+++ b/waxload/waxcheck/harness.go
@@ -206,7 +206,7 @@
 	for !h.fleet.Settled() {
 		select {
 		case <-ctx.Done():
-			return waxfleet.NewError(waxfleet.CodeInternal, "the fleet did not settle within %s", settleTimeout)
+			return waxfleet.NewError(waxfleet.CodeInternal, "the fleet did not settle within %s: %s", settleTimeout, h.fleet.Unsettled())
 		case <-time.After(settlePollInterval):
 		}
 	}
--- a/waxload/waxembed/fleet.go
+++ b/waxload/waxembed/fleet.go
@@ -284,7 +284,7 @@
 	for !f.Settled() {
 		select {
 		case <-ctx.Done():
-			return waxfleet.NewError(waxfleet.CodeInternal, "the embedded fleet did not settle within %s", settleTimeout)
+			return waxfleet.NewError(waxfleet.CodeInternal, "the embedded fleet did not settle within %s: %s", settleTimeout, f.Unsettled())
 		case <-time.After(settlePollInterval):
 		}
 	}
@@ -293,18 +293,21 @@
 
 // Settled reports whether all routers are ready and each backend server has
 // exactly one owner with the full share of its load limit.
-func (f *Fleet) Settled() bool {
+func (f *Fleet) Settled() bool { return f.Unsettled() == "" }
+
+// Unsettled returns why the fleet has not settled, or "".
+func (f *Fleet) Unsettled() string {
 	for _, r := range f.routers {
 		if !r.Node.Ready() {
-			return false
+			return fmt.Sprintf("router %s is not ready", r.ID)
 		}
 	}
 	for _, id := range f.BackendServers() {
-		if f.countOwners(id) != 1 {
-			return false
+		if n := f.countOwners(id); n != 1 {
+			return fmt.Sprintf("%d routers own backend server %s", n, id)
 		}
 	}
-	return true
+	return ""
 }
 
 // countOwners returns the number of routers that own a backend server.
