waxforward: check the link with servers that may get requests alone

An instance that reached only engines of an evacuated failure domain refused its callers: the check of the link connected to those engines and saw nothing wrong.

--- a/waxfleet/waxforward/link.go
+++ b/waxfleet/waxforward/link.go
@@ -25,7 +25,7 @@
 
 // checkLink checks whether this instance is cut off from all servers of a service.
 func (f *Forwarder) checkLink(ctx context.Context, service string) {
-	targets := f.servers.linkTargets(service, nil)
+	targets := f.linkTargets(service, nil)
 	reachable := len(targets) == 0 || f.connects(ctx, targets)
 	if !f.servers.endLinkCheck(service, reachable) {
 		return
@@ -83,10 +83,11 @@
 	return due
 }
 
-// linkTargets returns servers of a service whose connections show whether this instance
-// reaches any, but for one: those that are not known to be down first, in different failure
-// domains.
-func (s *Servers) linkTargets(service string, except *serverState) []*serverState {
+// linkTargets returns servers of a service that may get requests, whose connections show
+// whether this instance reaches any, but for one: those that are not known to be down first,
+// in different failure domains.
+func (f *Forwarder) linkTargets(service string, except *serverState) []*serverState {
+	s := f.servers
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
@@ -100,8 +101,8 @@
 		tie  uint32
 	}
 	var targets []target
-	for _, state := range s.servers {
-		if state == except || state.entry.Server().Service() != service {
+	for id, state := range s.servers {
+		if state == except || state.entry.Server().Service() != service || !f.opts.Directory.AcceptsWork(id, state.entry.StartUnixMilli()) {
 			continue
 		}
 		// An odd factor gives each check another order.
--- a/waxfleet/waxforward/suspect.go
+++ b/waxfleet/waxforward/suspect.go
@@ -136,7 +136,7 @@
 // not, the network was probably cut, and a refused connection does not show that its server
 // crashed. It reports true without another server.
 func (f *Forwarder) reachesOthers(ctx context.Context, state *serverState) bool {
-	others := f.servers.linkTargets(state.entry.Server().Service(), state)
+	others := f.linkTargets(state.entry.Server().Service(), state)
 	return len(others) == 0 || f.connects(ctx, others)
 }
 
