--- a/waxfleet/waxforward/forwarder.go
+++ b/waxfleet/waxforward/forwarder.go
@@ -1,7 +1,8 @@
 // Package waxforward forwards requests of callers to backend servers: it matches the
 // route, authenticates the API key, selects a server, sends the request and relays the
 // response. Each request takes one hop: the instance that accepted it holds the
-// connection to the backend server.
+// connection to the backend server. Only while it is cut off from all servers of the
+// service does it send the request to another instance.
 package waxforward
 
 import (
