--- /dev/null
+++ b/review/lab/main.go
@@ -0,0 +1,49 @@
+// Command lab plays the cases of the review: it starts routers with the command of the
+// deploy file, stand-ins of the platform's store and of engines as processes on loopback
+// addresses, and clients.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+// cases holds the cases by name. Each returns whether the rule was broken.
+var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	if len(args) >= 1 && args[0] == "engine" {
+		return runEngine(args[1:])
+	}
+	if len(args) != 2 || cases[args[0]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: lab CASE FOLDER (from the root of the repository)")
+		return 2
+	}
+	rec, err := newRecorder(filepath.Join(args[1], "record.txt"))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	trouble := os.Getenv("TROUBLE") != "0"
+	rec.printf("case %s, trouble %v", args[0], trouble)
+	f, err := newFleet(rec)
+	if err != nil {
+		rec.say("could not run: %v", err)
+		return 2
+	}
+	defer f.close()
+	broken, err := cases[args[0]](f, trouble)
+	switch {
+	case err != nil:
+		rec.say("could not run: %v", err)
+		return 2
+	case broken:
+		rec.say("the rule was broken")
+		return 1
+	}
+	rec.say("the rule held")
+	return 0
+}
