--- a/review/lab/engine.go
+++ b/review/lab/engine.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -26,6 +28,12 @@
 	// answers that begin in that time after a SIGUSR1 count.
 	openEvery int
 	openFor   time.Duration
+	// shed is the share of requests that are turned away as if the engine were full. extra is
+	// the share of answers that the engine sends twice; the second copy is late and comes when
+	// the next request has arrived on the connection. Both apply in the faultFor after a
+	// SIGUSR2.
+	shed, extra float64
+	faultFor    time.Duration
 }
 
 // engine is a stand-in of a server: a model engine for paths with /stream/, and a plain
@@ -36,7 +44,9 @@
 	running atomic.Int64
 	// openUntil is the Unix millisecond until which some answers have no length.
 	openUntil atomic.Int64
-	out       sync.Mutex
+	// faultUntil is the Unix millisecond until which shed and extra apply.
+	faultUntil atomic.Int64
+	out        sync.Mutex
 }
 
 func runEngine(args []string) int {
@@ -54,6 +64,9 @@
 	fs.DurationVar(&o.work, "work", 30*time.Millisecond, "time of a plain request")
 	fs.IntVar(&o.openEvery, "open-every", 20, "one answer in so many has no length and no chunks")
 	fs.DurationVar(&o.openFor, "open-for", 0, "only for this time after SIGUSR1; 0: always")
+	fs.Float64Var(&o.shed, "shed", 0, "share of requests that are turned away after SIGUSR2")
+	fs.Float64Var(&o.extra, "extra", 0, "share of answers that are sent twice after SIGUSR2")
+	fs.DurationVar(&o.faultFor, "fault-for", 5*time.Second, "how long after SIGUSR2")
 	_ = fs.Parse(args)
 	e := &engine{engineOptions: o}
 	l, err := net.Listen("tcp4", o.listen)
@@ -61,16 +74,23 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	server := &http.Server{Handler: e, IdleTimeout: 5 * time.Second}
+	server := &http.Server{Handler: e, IdleTimeout: 5 * time.Second, ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, lateCopy{}, &lateCopy{})
+	}}
 	go func() { _ = server.Serve(l) }()
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGUSR2)
 	go e.beat(time.Now().UnixMilli())
 	for s := range signals {
-		if s != syscall.SIGUSR1 {
-			break
+		switch s {
+		case syscall.SIGUSR1:
+			e.openUntil.Store(time.Now().Add(o.openFor).UnixMilli())
+			continue
+		case syscall.SIGUSR2:
+			e.faultUntil.Store(time.Now().Add(o.faultFor).UnixMilli())
+			continue
 		}
-		e.openUntil.Store(time.Now().Add(o.openFor).UnixMilli())
+		break
 	}
 	_ = server.Close()
 	return 0
@@ -133,6 +153,23 @@
 	if _, err := io.ReadAll(r.Body); err != nil {
 		return
 	}
+	late := r.Context().Value(lateCopy{}).(*lateCopy)
+	if len(late.raw) > 0 {
+		e.sendLateCopy(w, late, id, r.RequestURI)
+		return
+	}
+	faulty := time.Now().UnixMilli() < e.faultUntil.Load()
+	if faulty && rand.Float64() < e.shed {
+		if rand.Float64() < e.extra {
+			late.raw = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+		}
+		e.printf("shed %s", id)
+		w.Header()["Date"] = nil
+		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set("Content-Length", "0")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	e.running.Add(1)
 	defer e.running.Add(-1)
 	e.printf("run %s %s", id, r.RequestURI)
@@ -152,7 +189,38 @@
 		return
 	}
 	h.Set("Content-Type", "text/plain")
-	_, _ = fmt.Fprintf(w, "%s answers %s", e.id, id)
+	body := e.id + " answers " + id
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if faulty && rand.Float64() < e.extra {
+		late.raw = e.plainAnswer(id)
+	}
+	_, _ = io.WriteString(w, body)
+	e.printf("end %s", id)
+}
+
+// lateCopy is the second copy of the last answer of a connection, which is still to come.
+type lateCopy struct{ raw string }
+
+// plainAnswer returns the whole answer to a plain request.
+func (e *engine) plainAnswer(id string) string {
+	body := e.id + " answers " + id
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal-%s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s",
+		id, e.id, len(body), body)
+}
+
+// sendLateCopy sends the second copy of the answer before, then runs the request and answers
+// it.
+func (e *engine) sendLateCopy(w http.ResponseWriter, late *lateCopy, id, target string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	e.printf("run %s %s", id, target)
+	e.printf("late copy before the answer to %s: %s", id, strings.SplitN(late.raw, "\r\n", 2)[0])
+	_, _ = io.WriteString(conn, late.raw)
+	time.Sleep(e.work)
+	_, _ = io.WriteString(conn, strings.Replace(e.plainAnswer(id), "\r\n", "\r\nConnection: close\r\n", 1))
 	e.printf("end %s", id)
 }
 
