--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -30,6 +30,8 @@
 	// end says how the answer ended: "complete" as far as the protocol tells (for framing
 	// "none": the connection was closed in order), else what broke.
 	end string
+	// closing says that the answer announced the end of its connection.
+	closing bool
 }
 
 func (o outcome) String() string {
@@ -68,7 +70,7 @@
 	if err != nil {
 		return outcome{end: "no answer: " + reason(err)}
 	}
-	o := outcome{status: resp.StatusCode, sealed: resp.Header.Get("X-Response-Seal") != "", framing: "none", end: "complete"}
+	o := outcome{status: resp.StatusCode, sealed: resp.Header.Get("X-Response-Seal") != "", framing: "none", end: "complete", closing: resp.Close}
 	switch {
 	case len(resp.TransferEncoding) > 0:
 		o.framing = "chunks"
--- a/review/lab/engine.go
+++ b/review/lab/engine.go
@@ -69,6 +69,8 @@
 	fs.DurationVar(&o.faultFor, "fault-for", 5*time.Second, "how long after SIGUSR2")
 	_ = fs.Parse(args)
 	e := &engine{engineOptions: o}
+	born := time.Now().UnixMilli()
+	e.register(born, 0)
 	l, err := net.Listen("tcp4", o.listen)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -80,7 +82,7 @@
 	go func() { _ = server.Serve(l) }()
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGUSR2)
-	go e.beat(time.Now().UnixMilli())
+	go e.beat(born)
 	for s := range signals {
 		switch s {
 		case syscall.SIGUSR1:
@@ -102,18 +104,23 @@
 	fmt.Printf(format+"\n", args...)
 }
 
-// beat writes the entry of the engine to the store.
+// beat writes the entry of the engine to the store again and again.
 func (e *engine) beat(born int64) {
-	client := &http.Client{Timeout: time.Second}
 	for seq := 1; ; seq++ {
-		spec := map[string]any{"service": e.service, "address": e.listen, "zone": e.zone, "version": e.version,
-			"slots": e.slots, "state": "ready", "cold_left_ms": 0, "call_seq": seq, "born": born}
-		object := map[string]any{"metadata": map[string]any{"name": e.id}, "spec": spec}
-		base := "http://" + e.store + "/api/objects/servers"
-		if !call(client, http.MethodPut, base+"/"+e.id, object) {
-			call(client, http.MethodPost, base, object)
-		}
 		time.Sleep(1200 * time.Millisecond)
+		e.register(born, seq)
+	}
+}
+
+// register writes the entry of the engine to the store.
+func (e *engine) register(born int64, seq int) {
+	client := &http.Client{Timeout: time.Second}
+	spec := map[string]any{"service": e.service, "address": e.listen, "zone": e.zone, "version": e.version,
+		"slots": e.slots, "state": "ready", "cold_left_ms": 0, "call_seq": seq, "born": born}
+	object := map[string]any{"metadata": map[string]any{"name": e.id}, "spec": spec}
+	base := "http://" + e.store + "/api/objects/servers"
+	if !call(client, http.MethodPut, base+"/"+e.id, object) {
+		call(client, http.MethodPost, base, object)
 	}
 }
 
@@ -235,15 +242,16 @@
 			e.printf("left %s after %d", id, i-1)
 			return
 		}
-		_, _ = io.WriteString(w, eventText(i))
+		_, _ = io.WriteString(w, eventText(i, e.version))
 		_ = http.NewResponseController(w).Flush()
 	}
 	e.printf("end %s", id)
 }
 
-// eventText returns an event of a stream. Streams of the same length are the same at all
-// engines, so that they can be taken up anywhere.
-func eventText(i int) string { return fmt.Sprintf("id: %d\ndata: token %d\n\n", i, i) }
+// eventText returns an event of a stream. It names the version of the software that made it.
+func eventText(i int, version string) string {
+	return fmt.Sprintf("id: %d\ndata: token %d of %s\n\n", i, i, version)
+}
 
 // pause waits for d. It returns false if the caller leaves first.
 func pause(r *http.Request, d time.Duration) bool {
--- a/review/lab/fleet.go
+++ b/review/lab/fleet.go
@@ -64,6 +64,8 @@
 	// lines of the engines, by attempt
 	runs map[string][]string
 	ends map[string]int
+	// addresses of the engines, by id
+	addresses map[string]string
 }
 
 type router struct {
@@ -81,7 +83,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{rec: rec, folder: folder, store: newStore(), runs: map[string][]string{}, ends: map[string]int{}}
+	f := &fleet{rec: rec, folder: folder, store: newStore(), runs: map[string][]string{}, ends: map[string]int{}, addresses: map[string]string{}}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -175,18 +177,24 @@
 	_ = os.RemoveAll(f.folder)
 }
 
-// startEngine starts an engine as a process of its own.
+// startEngine starts an engine as a process of its own. An engine that starts again under its
+// id has the address that it had.
 func (f *fleet) startEngine(id, service, zone string, flags ...string) (*process, error) {
 	self, err := os.Executable()
 	if err != nil {
 		return nil, err
 	}
-	port, err := freePort(0, "127.0.0.1")
-	if err != nil {
-		return nil, err
+	address := f.addresses[id]
+	if address == "" {
+		port, err := freePort(0, "127.0.0.1")
+		if err != nil {
+			return nil, err
+		}
+		address = fmt.Sprintf("127.0.0.1:%d", port)
+		f.addresses[id] = address
 	}
 	argv := append([]string{self, "engine", "-id", id, "-service", service, "-zone", zone,
-		"-listen", fmt.Sprintf("127.0.0.1:%d", port), "-store", f.storeAddr}, flags...)
+		"-listen", address, "-store", f.storeAddr}, flags...)
 	return f.start(id, func(line string) {
 		f.rec.printf("%s: %s", id, line)
 		word := strings.Fields(line)
@@ -318,9 +326,12 @@
 
 func (f *fleet) frontend(r *router) string { return fmt.Sprintf("%s:%d", r.ip, f.ports[0]) }
 
+// probeClient returns a client for readiness probes.
+func probeClient() *http.Client { return &http.Client{Timeout: time.Second} }
+
 // awaitReady waits until all routers say that they are ready.
 func (f *fleet) awaitReady() error {
-	client := &http.Client{Timeout: time.Second}
+	client := probeClient()
 	deadline := time.Now().Add(30 * time.Second)
 	for _, r := range f.routers {
 		for !f.isReady(client, r) {
--- a/review/lab/open.go
+++ b/review/lab/open.go
@@ -83,7 +83,7 @@
 	for i := 0; time.Since(started) < length; i++ {
 		r := f.routers[i%len(f.routers)]
 		a := attempt{
-			id: fmt.Sprintf("a%06d", i), method: "POST", path: "/stream/2f", body: "prompt", deadline: 15 * time.Second,
+			id: fmt.Sprintf("a%06d", i), method: "POST", path: "/stream/2f", body: fmt.Sprintf("prompt %d", i), deadline: 15 * time.Second,
 			header: []string{"X-Model: m", "X-Token-Usage: 713,120", fmt.Sprintf("X-Prefix-Hash: 5c1e07a2:103,91bd3f%02x:500,%x:110", i%8, 0xe4402b00+i)},
 		}
 		wg.Add(1)
