--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -99,3 +99,5 @@
 	}
 	return err.Error()
 }
+
+func newReader(conn net.Conn) *bufio.Reader { return bufio.NewReader(conn) }
--- a/review/lab/engine.go
+++ b/review/lab/engine.go
@@ -34,6 +34,9 @@
 	// SIGUSR2.
 	shed, extra float64
 	faultFor    time.Duration
+	// registerAfter is the time from the first moment at which the engine serves until it
+	// writes its entry.
+	registerAfter time.Duration
 }
 
 // engine is a stand-in of a server: a model engine for paths with /stream/, and a plain
@@ -67,10 +70,10 @@
 	fs.Float64Var(&o.shed, "shed", 0, "share of requests that are turned away after SIGUSR2")
 	fs.Float64Var(&o.extra, "extra", 0, "share of answers that are sent twice after SIGUSR2")
 	fs.DurationVar(&o.faultFor, "fault-for", 5*time.Second, "how long after SIGUSR2")
+	fs.DurationVar(&o.registerAfter, "register-after", 0, "time until the engine writes its entry")
 	_ = fs.Parse(args)
 	e := &engine{engineOptions: o}
 	born := time.Now().UnixMilli()
-	e.register(born, 0)
 	l, err := net.Listen("tcp4", o.listen)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -106,9 +109,10 @@
 
 // beat writes the entry of the engine to the store again and again.
 func (e *engine) beat(born int64) {
+	time.Sleep(e.registerAfter)
 	for seq := 1; ; seq++ {
-		time.Sleep(1200 * time.Millisecond)
 		e.register(born, seq)
+		time.Sleep(1200 * time.Millisecond)
 	}
 }
 
