--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -6,7 +6,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // cases holds the cases by name. Each returns whether the rule was broken.
@@ -35,6 +37,13 @@
 		return 2
 	}
 	defer f.close()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-stop
+		f.close()
+		os.Exit(2)
+	}()
 	broken, err := cases[args[0]](f, trouble)
 	switch {
 	case err != nil:
