waxforward: reset close-delimited responses when the process ends

Cause: nobody ends these connections but the kernel, which closes the sockets of a dead process in order. The instance reset such a connection only when it gave a response up itself (abort). The same holds for a process that exits at the end of its grace period, and for callers on HTTP/1.0, who get responses with chunks as close-delimited ones.

Change: SO_LINGER with zero seconds is set on the caller's connection before the header of a close-delimited response is sent, and cleared once it is complete. Whoever closes the socket in between, the kernel resets it. abort needs no hijacking any more. The server of requests of other instances does the same.

--- a/waxfleet/waxforward/forwarder.go
+++ b/waxfleet/waxforward/forwarder.go
@@ -111,7 +111,8 @@
 	active  atomic.Int64
 }
 
-// New returns a Forwarder. All options but Observe are required.
+// New returns a Forwarder. All options but Observe are required. Its http.Server needs
+// ConnContext.
 func New(opts Options) *Forwarder {
 	return &Forwarder{opts: opts, servers: opts.Servers}
 }
@@ -363,6 +364,7 @@
 	}
 	switch {
 	case err == nil:
+		req.response.complete()
 		f.opts.Log.Info("request ended", attrs...)
 		return
 	case disconnected:
--- a/waxfleet/waxforward/responsewriter.go
+++ b/waxfleet/waxforward/responsewriter.go
@@ -1,6 +1,7 @@
 package waxforward
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"net"
@@ -11,10 +12,21 @@
 	"waxwingdrift.org/waxfleet/waxpool"
 )
 
+// connKey is the context key of the connection that a request came on.
+type connKey struct{}
+
+// ConnContext is the ConnContext of an http.Server whose handler is a Forwarder or its
+// PeerHandler.
+func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
 // responseWriter writes the response to the caller.
 type responseWriter struct {
-	w            http.ResponseWriter
-	controller   *http.ResponseController
+	w          http.ResponseWriter
+	controller *http.ResponseController
+	// conn is the caller's connection; nil if it is no TCP connection.
+	conn         *net.TCPConn
 	protocol     waxfleet.Protocol
 	clock        *waxfleet.Clock
 	status       int
@@ -30,9 +42,11 @@
 }
 
 func newResponseWriter(w http.ResponseWriter, r *http.Request, protocol waxfleet.Protocol, clock *waxfleet.Clock) *responseWriter {
+	conn, _ := r.Context().Value(connKey{}).(*net.TCPConn)
 	return &responseWriter{
 		http10:      !r.ProtoAtLeast(1, 1),
 		w:           w,
+		conn:        conn,
 		controller:  http.NewResponseController(w),
 		protocol:    protocol,
 		clock:       clock,
@@ -76,31 +90,38 @@
 	default:
 		rw.closeDelimited = rw.http10
 	}
+	if rw.closeDelimited {
+		rw.resetOnClose(true)
+	}
 	rw.status, rw.headerSentAt = resp.Status, rw.clock.Now()
 	rw.w.WriteHeader(resp.Status)
 }
 
-// abort breaks the caller's connection off. After a response header, only that shows that
-// the response is incomplete.
-func (rw *responseWriter) abort() {
+// complete marks the response as complete. It precedes the return to net/http, which ends
+// the response.
+func (rw *responseWriter) complete() {
 	if rw.closeDelimited {
-		rw.reset()
+		rw.resetOnClose(false)
 	}
-	panic(http.ErrAbortHandler)
 }
 
-// reset resets the caller's connection. An orderly close would look like the end of a
-// close-delimited response.
-func (rw *responseWriter) reset() {
-	conn, _, err := rw.controller.Hijack()
-	if err != nil {
+// abort breaks the caller's connection off. After a response header, only that shows that
+// the response is incomplete.
+func (rw *responseWriter) abort() { panic(http.ErrAbortHandler) }
+
+// resetOnClose sets whether the caller's connection is reset when it is closed. An orderly
+// close states that a close-delimited response is complete, and a process that is killed
+// leaves the close to the kernel.
+func (rw *responseWriter) resetOnClose(reset bool) {
+	if rw.conn == nil {
 		return
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		// An error means that the connection is closed.
-		_ = tcp.SetLinger(0)
+	seconds := -1 // an orderly close, in the background
+	if reset {
+		seconds = 0
 	}
-	_ = conn.Close()
+	// An error means that the connection is closed.
+	_ = rw.conn.SetLinger(seconds)
 }
 
 // write sends a part of the body and flushes it.
--- a/waxfleet/waxfront/instance.go
+++ b/waxfleet/waxfront/instance.go
@@ -250,6 +250,7 @@
 	inst.callerServer = &http.Server{
 		Handler:           inst.forwarder,
 		ConnState:         inst.idle.track,
+		ConnContext:       waxforward.ConnContext,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -261,6 +262,7 @@
 	peers.GET("/metrics", echo.WrapHandler(inst.metrics.handler))
 	inst.peerServer = &http.Server{
 		Handler:           inst.forwarder.PeerHandler(),
+		ConnContext:       waxforward.ConnContext,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
