waxforward: don't take a server for down when a caller leaves early

Callers saw: 503 no-backend-server, although the servers of the service were sound. A caller that left while the connection to its server was being opened made the instance pass that server over for 400 ms, and longer with each further one; with few servers, nobody else was served meanwhile.

Cause: the end of the request's context ends the connection attempt, whose error counted as "server unreachable", for the server's back-off and for the check whether the instance is cut off. Found by TestCallerClosesSendingSide, whose log shows sends 0 for the caller that left and "no eligible backend server" for the next one 2 ms later. A refusal by rate, ban or limit is ruled out: each has a reason and a code of its own.

Change: a connection attempt that fails after the request has ended has no effect on the server's health. Attempts of sound requests still count.

--- a/waxfleet/waxforward/retry.go
+++ b/waxfleet/waxforward/retry.go
@@ -81,7 +81,7 @@
 		res, err := f.send(spanCtx, req, state)
 		span.SetAttributes(attribute.String("result", res.String()))
 		span.End()
-		f.servers.finish(state, req.service, healthEffectOf(res, err), ctx.Err() == nil && isTimeout(err))
+		f.servers.finish(state, req.service, healthEffectOf(ctx, res, err), ctx.Err() == nil && isTimeout(err))
 		if res == resultComplete {
 			if req.framed {
 				f.recordAnswer(req.traits)
@@ -110,8 +110,10 @@
 
 func roundToTenth(x float64) float64 { return float64(int(x*10)) / 10 }
 
-// healthEffectOf returns the effect of the result of a send on the health of the server.
-func healthEffectOf(res result, err error) healthEffect {
+// healthEffectOf returns the effect of the result of a send on the health of the server. ctx
+// is that of the request: a connection attempt that its end has cut short says nothing of
+// the server.
+func healthEffectOf(ctx context.Context, res result, err error) healthEffect {
 	switch res {
 	case resultComplete:
 		return effectSuccess
@@ -121,7 +123,7 @@
 		}
 		return effectFailure
 	case resultNotSent:
-		if waxfleet.CodeOf(err) == waxfleet.CodePeerUnreachable {
+		if waxfleet.CodeOf(err) == waxfleet.CodePeerUnreachable && ctx.Err() == nil {
 			return effectUnreachable
 		}
 	}
