waxforward: break the connection off when a caller seems to have left

Callers saw: one that closes only the sending side of its connection, and still reads, got the answer so far with the end of a complete one (1 of 50 events and the last chunk), or, before the answer had begun, 200 with an empty body and without a signature.

Cause: net/http reports the end of the sending side as the caller's disconnect, the instance gives the request up and returned as if all was said; net/http then ends the response in order.

Change: the handler aborts, so that the connection is closed without the end of a response, and reset for close-delimited ones. A caller that has left notices no difference. Serving a caller that has closed its sending side would take a sign other than net/http's; it is not done.

--- a/waxfleet/waxforward/forwarder.go
+++ b/waxfleet/waxforward/forwarder.go
@@ -369,7 +369,9 @@
 		return
 	case disconnected:
 		f.opts.Log.Info("caller disconnected", attrs...)
-		return
+		// The caller may have closed its sending side only. net/http would end the response
+		// as a complete one, or send an empty one if there is none.
+		req.response.abort()
 	}
 	var status int
 	abort := req.response.headerSent()
