waxentry: reset broken responses of callers on HTTP/1.0

Callers of the own interface saw: a response to HTTP/1.0 that breaks off, or whose router is killed, ends with its connection in order, as a complete one does.

Change: waxconn, taken out of waxforward, gives the handlers of both interfaces the connection of a request; it is reset on close from the header of a close-delimited response until its end.

TestHTTP10ResponseLooksComplete/broken-off: an orderly end before, a reset after; the complete response still ends in order. Kills are covered by the same option, shown for route by TestInstanceEndsDuringStream.

--- a/waxfleet/waxentry/entry.go
+++ b/waxfleet/waxentry/entry.go
@@ -24,6 +24,7 @@
 
 	"waxwingdrift.org/waxfleet"
 	"waxwingdrift.org/waxfleet/waxclaim"
+	"waxwingdrift.org/waxfleet/waxconn"
 	"waxwingdrift.org/waxfleet/waxmetric"
 	"waxwingdrift.org/waxfleet/waxroute"
 )
@@ -75,7 +76,8 @@
 	echo *echo.Echo
 }
 
-// New returns an Entry, which is an http.Handler.
+// New returns an Entry, which is an http.Handler. Its http.Server needs the ConnContext of
+// waxconn.
 func New(deps Dependencies) *Entry {
 	e := &Entry{Dependencies: deps, echo: echo.New()}
 	e.echo.HideBanner = true
@@ -239,7 +241,10 @@
 	c.Response().Header().Set(HeaderRequestID, req.ID)
 	c.Response().Header().Set(HeaderTraceID, span.SpanContext().TraceID().String())
 	cfg := e.Config.Current()
-	response := &responseWriter{response: c.Response(), clock: e.Clock, startedAt: startedAt, timeToFirstByte: -1}
+	response := &responseWriter{
+		response: c.Response(), clock: e.Clock, startedAt: startedAt, timeToFirstByte: -1,
+		conn: waxconn.Of(r.Context()), closeDelimited: !r.ProtoAtLeast(1, 1),
+	}
 	err := e.readRequest(r, req, cfg)
 	if err == nil {
 		err = parse(cfg)
@@ -262,6 +267,7 @@
 	if err != nil {
 		return e.writeError(c, req, response, err)
 	}
+	response.complete()
 	return nil
 }
 
--- a/waxfleet/waxentry/writer.go
+++ b/waxfleet/waxentry/writer.go
@@ -6,6 +6,7 @@
 	"github.com/labstack/echo/v4"
 
 	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxconn"
 )
 
 // responseWriter writes a response to the caller. It implements waxroute.ResponseWriter.
@@ -16,6 +17,10 @@
 	timeToFirstByte waxfleet.Millis // -1 until the first byte is written
 	headerWritten   bool
 	isStream        bool
+	conn            waxconn.Conn
+	// closeDelimited is true if the response ends with the caller's connection, because
+	// the caller does not understand chunks.
+	closeDelimited bool
 }
 
 // Head implements waxroute.ResponseWriter.
@@ -24,10 +29,20 @@
 	w.isStream = strings.HasPrefix(contentType, "text/event-stream")
 	w.response.Header().Set("Content-Type", contentType)
 	w.response.Header().Set(HeaderBackendServer, backendServer)
+	if w.closeDelimited {
+		w.conn.ResetOnClose(true)
+	}
 	w.response.WriteHeader(status)
 	return nil
 }
 
+// complete marks the response as complete.
+func (w *responseWriter) complete() {
+	if w.closeDelimited {
+		w.conn.ResetOnClose(false)
+	}
+}
+
 // Body implements waxroute.ResponseWriter.
 func (w *responseWriter) Body(part []byte) error {
 	if w.timeToFirstByte < 0 {
--- a/waxfleet/waxforward/forwarder.go
+++ b/waxfleet/waxforward/forwarder.go
@@ -111,8 +111,8 @@
 	active  atomic.Int64
 }
 
-// New returns a Forwarder. All options but Observe are required. Its http.Server needs
-// ConnContext.
+// New returns a Forwarder. All options but Observe are required. Its http.Server needs the
+// ConnContext of waxconn.
 func New(opts Options) *Forwarder {
 	return &Forwarder{opts: opts, servers: opts.Servers}
 }
--- a/waxfleet/waxforward/responsewriter.go
+++ b/waxfleet/waxforward/responsewriter.go
@@ -1,32 +1,21 @@
 package waxforward
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
-	"net"
 	"net/http"
 	"strconv"
 
 	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxconn"
 	"waxwingdrift.org/waxfleet/waxpool"
 )
 
-// connKey is the context key of the connection that a request came on.
-type connKey struct{}
-
-// ConnContext is the ConnContext of an http.Server whose handler is a Forwarder or its
-// PeerHandler.
-func ConnContext(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, conn)
-}
-
 // responseWriter writes the response to the caller.
 type responseWriter struct {
-	w          http.ResponseWriter
-	controller *http.ResponseController
-	// conn is the caller's connection; nil if it is no TCP connection.
-	conn         *net.TCPConn
+	w            http.ResponseWriter
+	controller   *http.ResponseController
+	conn         waxconn.Conn
 	protocol     waxfleet.Protocol
 	clock        *waxfleet.Clock
 	status       int
@@ -42,11 +31,10 @@
 }
 
 func newResponseWriter(w http.ResponseWriter, r *http.Request, protocol waxfleet.Protocol, clock *waxfleet.Clock) *responseWriter {
-	conn, _ := r.Context().Value(connKey{}).(*net.TCPConn)
 	return &responseWriter{
 		http10:      !r.ProtoAtLeast(1, 1),
 		w:           w,
-		conn:        conn,
+		conn:        waxconn.Of(r.Context()),
 		controller:  http.NewResponseController(w),
 		protocol:    protocol,
 		clock:       clock,
@@ -91,7 +79,7 @@
 		rw.closeDelimited = rw.http10
 	}
 	if rw.closeDelimited {
-		rw.resetOnClose(true)
+		rw.conn.ResetOnClose(true)
 	}
 	rw.status, rw.headerSentAt = resp.Status, rw.clock.Now()
 	rw.w.WriteHeader(resp.Status)
@@ -101,7 +89,7 @@
 // the response.
 func (rw *responseWriter) complete() {
 	if rw.closeDelimited {
-		rw.resetOnClose(false)
+		rw.conn.ResetOnClose(false)
 	}
 }
 
@@ -109,21 +97,6 @@
 // the response is incomplete.
 func (rw *responseWriter) abort() { panic(http.ErrAbortHandler) }
 
-// resetOnClose sets whether the caller's connection is reset when it is closed. An orderly
-// close states that a close-delimited response is complete, and a process that is killed
-// leaves the close to the kernel.
-func (rw *responseWriter) resetOnClose(reset bool) {
-	if rw.conn == nil {
-		return
-	}
-	seconds := -1 // an orderly close, in the background
-	if reset {
-		seconds = 0
-	}
-	// An error means that the connection is closed.
-	_ = rw.conn.SetLinger(seconds)
-}
-
 // write sends a part of the body and flushes it.
 func (rw *responseWriter) write(part []byte) error {
 	if _, err := rw.w.Write(part); err != nil {
--- a/waxfleet/waxfront/instance.go
+++ b/waxfleet/waxfront/instance.go
@@ -19,6 +19,7 @@
 
 	"waxwingdrift.org/waxfleet"
 	"waxwingdrift.org/waxfleet/waxcache"
+	"waxwingdrift.org/waxfleet/waxconn"
 	"waxwingdrift.org/waxfleet/waxcrash"
 	"waxwingdrift.org/waxfleet/waxdirectory"
 	"waxwingdrift.org/waxfleet/waxforward"
@@ -250,7 +251,7 @@
 	inst.callerServer = &http.Server{
 		Handler:           inst.forwarder,
 		ConnState:         inst.idle.track,
-		ConnContext:       waxforward.ConnContext,
+		ConnContext:       waxconn.Context,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -262,7 +263,7 @@
 	peers.GET("/metrics", echo.WrapHandler(inst.metrics.handler))
 	inst.peerServer = &http.Server{
 		Handler:           inst.forwarder.PeerHandler(),
-		ConnContext:       waxforward.ConnContext,
+		ConnContext:       waxconn.Context,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/waxfleet/waxnode/node.go
+++ b/waxfleet/waxnode/node.go
@@ -17,6 +17,7 @@
 	"waxwingdrift.org/waxfleet"
 	"waxwingdrift.org/waxfleet/waxclaim"
 	"waxwingdrift.org/waxfleet/waxconfig"
+	"waxwingdrift.org/waxfleet/waxconn"
 	"waxwingdrift.org/waxfleet/waxdispatch"
 	"waxwingdrift.org/waxfleet/waxentry"
 	"waxwingdrift.org/waxfleet/waxlease"
@@ -216,6 +217,7 @@
 			Clock: n.clock, Config: n.config, Router: router, Recorder: n.recorder, Metrics: n.metrics,
 			Tracer: tracer, Log: n.log, Ready: n.Ready,
 		})),
+		ConnContext:    waxconn.Context,
 		MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout,
 		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
 	}
