waxfront: keep the origins of streams in the store

Callers who take their streams up again get 503 (2015 origin-unknown) at every instance, until their deadline, while every new stream begins.

Cause: which version began a stream is known to the instance that relayed it and to six others that it tells, in memory alone. When all of them end, nothing says it, and a take-up whose version is unknown is refused, as it has to be. No server, ban or stale configuration refused them.

Change: while several versions may have begun streams of a service, the origins of streams that have been under way for 100 ms go to the store, too (kind wax-origins). Two instances of each group write those of all, at most each 250 ms, into 16 segments each, so that a write holds about one second of origins. A take-up that no instance knows is looked up there; one read serves all that wait. An instance that has started keeps what it wrote before. What can't be read stays unknown and is refused. Segments without origins that anybody may need are deleted.

--- a/waxfleet/interfaces.go
+++ b/waxfleet/interfaces.go
@@ -25,6 +25,27 @@
 	ListInstances(ctx context.Context) ([]Instance, []BackendServer, error)
 }
 
+// Text is a named text in the platform's store.
+type Text struct {
+	Name     string
+	Revision Revision
+	Text     string
+}
+
+// TextStore keeps texts that outlast all instances in the platform's store.
+//
+// Errors: CodePlatformRateLimited and CodePlatformUnreachable when nothing was done;
+// CodePlatformUnknown when a write may have taken effect.
+type TextStore interface {
+	// Read returns all texts.
+	Read(ctx context.Context) ([]Text, error)
+	// Write writes a text and replaces an existing one.
+	Write(ctx context.Context, name, text string) error
+	// Delete deletes a text if it has not changed since it was read. It is not an error if
+	// it has, or if there is none.
+	Delete(ctx context.Context, t Text) error
+}
+
 // Config is one immutable version of the configuration document.
 type Config interface {
 	// Version returns the version number of the document.
--- a/waxfleet/waxforward/forwarder.go
+++ b/waxfleet/waxforward/forwarder.go
@@ -68,9 +68,12 @@
 	// were in use lately.
 	Origins  *waxorigin.Streams
 	Versions *waxorigin.Versions
-	// TellOrigins tells other instances of the origins of streams, and AskOrigin asks them.
-	TellOrigins func(origins ...waxorigin.Origin)
-	AskOrigin   func(ctx context.Context, stream uint64) (waxorigin.Origin, bool)
+	// TellOrigins tells other instances of the origins of streams that have begun, and
+	// StreamComplete is called once a caller has got a stream completely.
+	TellOrigins    func(origins ...waxorigin.Origin)
+	StreamComplete func(stream uint64)
+	// AskOrigin asks the other instances for the origin of a stream, and ReadOrigin the store.
+	AskOrigin, ReadOrigin func(ctx context.Context, stream uint64) (waxorigin.Origin, bool)
 	// Peers returns other instances that may reach servers of the service while this one
 	// does not, in the order in which a request with the key is sent to them, with the
 	// addresses of their PeerHandlers.
@@ -365,6 +368,9 @@
 	switch {
 	case err == nil:
 		req.response.complete()
+		if req.pinned && req.route.Resumable() {
+			f.opts.StreamComplete(waxorigin.StreamHash(req.streamID()))
+		}
 		f.opts.Log.Info("request ended", attrs...)
 		return
 	case disconnected:
--- a/waxfleet/waxforward/origin.go
+++ b/waxfleet/waxforward/origin.go
@@ -35,6 +35,10 @@
 			source = "instances"
 			o, known = f.opts.AskOrigin(ctx, stream)
 		}
+		if !known && req.inbound.Resumes != "" {
+			source = "store"
+			o, known = f.opts.ReadOrigin(ctx, stream)
+		}
 	}
 	f.opts.Log.Info("stream taken up", "request", req.inbound.ID, "resumes", req.inbound.Resumes, "known", known,
 		"software-version", o.Version(), "source", source)
--- a/waxfleet/waxfront/instance.go
+++ b/waxfleet/waxfront/instance.go
@@ -64,6 +64,7 @@
 	BackendServers() waxfleet.Feed[waxfleet.BackendServerEntry]
 	Evacuations() waxfleet.Feed[waxfleet.Evacuation]
 	Peers() waxfleet.PeerRegistry
+	Origins() waxfleet.TextStore
 }
 
 // Options configures an Instance.
@@ -96,6 +97,9 @@
 	crashes      *waxcrash.Ledger
 	limits       *waxlimit.Limits
 	origins      *waxorigin.Streams
+	openStreams  *waxorigin.Open
+	journal      *waxorigin.Journal
+	originLog    *originLog
 	versions     *waxorigin.Versions
 	exchanger    *waxpeer.Exchanger
 	replicas     *replicaSet
@@ -143,6 +147,8 @@
 	inst.crashes = waxcrash.New(opts.Clock, inst.trialRank)
 	inst.limits = waxlimit.New(opts.Clock)
 	inst.origins = waxorigin.NewStreams(opts.Clock)
+	inst.openStreams = waxorigin.NewOpen(opts.Clock)
+	inst.journal = waxorigin.NewJournal(opts.Clock)
 	inst.versions = waxorigin.NewVersions(opts.Clock)
 	inst.metrics = newMetrics(ctx, settings.Instance)
 	tracers, err := waxmetric.NewTracer(ctx, settings.Instance, opts.TraceWriter)
@@ -167,10 +173,14 @@
 		Servers:              inst.servers,
 		Origins:              inst.origins,
 		Versions:             inst.versions,
-		TellOrigins:          func(o ...waxorigin.Origin) { inst.exchanger.TellOrigins(o...) },
+		TellOrigins:          inst.tellOrigins,
+		StreamComplete:       inst.openStreams.End,
 		AskOrigin: func(ctx context.Context, stream uint64) (waxorigin.Origin, bool) {
 			return inst.exchanger.AskOrigin(ctx, stream)
 		},
+		ReadOrigin: func(ctx context.Context, stream uint64) (waxorigin.Origin, bool) {
+			return inst.originLog.origin(ctx, stream)
+		},
 		Peers:      inst.forwardingPeers,
 		HearsFleet: func() bool { return inst.exchanger.HearsFleet() },
 		Table:      inst.table.Load,
@@ -193,6 +203,7 @@
 		Crashes:             inst.crashes,
 		Limits:              inst.limits,
 		Origins:             inst.origins,
+		RecordOrigins:       inst.journal.Add,
 		Revisions:           inst.replicas.changeRevisions,
 		ConfigVersion:       inst.configVersion,
 		UnreachableServices: inst.servers.UnreachableServices,
@@ -201,6 +212,14 @@
 	if err != nil {
 		return nil, err
 	}
+	inst.originLog = newOriginLog(ctx, originLogOptions{
+		instance: settings.Instance, clock: opts.Clock, log: opts.Log, store: opts.Store.Origins(), streams: inst.origins,
+		open: inst.openStreams, journal: inst.journal,
+		recorder:    func() (waxpeer.Peer, bool) { return inst.exchanger.Recorder() },
+		askToRecord: func(p waxpeer.Peer, origins []waxorigin.Origin) { inst.exchanger.AskToRecord(p, origins) },
+		deletes:     func() bool { return inst.trialRank(originsKey) == 0 },
+		countWrite:  inst.metrics.CountOriginWrite,
+	})
 	if err := inst.listen(ctx); err != nil {
 		return nil, err
 	}
@@ -507,6 +526,9 @@
 	// versions in their entries, and versionWriters the number of these instances.
 	versionsKey    = 0x76657273696f6e73
 	versionWriters = 3
+	// originsKey is the key of the rendezvous order of the instances that delete expired
+	// origins from the store.
+	originsKey = 0x6f726967696e73
 	// settlePeriod is the time after the start after which an instance knows the others.
 	settlePeriod waxfleet.Millis = 2_000
 )
@@ -526,6 +548,13 @@
 	return inst.versions.Encode()
 }
 
+// tellOrigins tells other instances of the origins of streams, and records them in the store
+// unless the streams end soon.
+func (inst *Instance) tellOrigins(origins ...waxorigin.Origin) {
+	inst.exchanger.TellOrigins(origins...)
+	inst.openStreams.Begin(origins...)
+}
+
 // observeVersions records the software versions in use. Once a second version may begin
 // streams of a service, other instances are told where the streams of this one began.
 func (inst *Instance) observeVersions() {
@@ -540,7 +569,7 @@
 	for _, service := range inst.versions.Observe(entries) {
 		origins := inst.origins.Of(service)
 		inst.log.Info("several software versions in use", "service", service, "versions", inst.versions.Encode(), "streams", len(origins))
-		inst.exchanger.TellOrigins(origins...)
+		inst.tellOrigins(origins...)
 	}
 	inst.checkRegistered()
 }
--- a/waxfleet/waxmetric/metric.go
+++ b/waxfleet/waxmetric/metric.go
@@ -106,3 +106,6 @@
 func (m *Metrics) CountSends(tier string, n int) {
 	m.scope.Tagged(map[string]string{"tier": tier}).Counter("sends").Inc(int64(n))
 }
+
+// CountOriginWrite counts a write of origins of streams to the store.
+func (m *Metrics) CountOriginWrite() { m.scope.Counter("origin_writes").Inc(1) }
--- a/waxfleet/waxpeer/exchanger.go
+++ b/waxfleet/waxpeer/exchanger.go
@@ -94,6 +94,8 @@
 	Crashes *waxcrash.Ledger
 	// Origins holds the software versions at which streams began.
 	Origins *waxorigin.Streams
+	// RecordOrigins is called with origins that this instance is asked to write to the store.
+	RecordOrigins func(origins ...waxorigin.Origin)
 }
 
 // Exchanger sends the load of this instance to its peers and receives theirs. It is safe
@@ -503,6 +505,7 @@
 		StoreAnswers:  e.opts.StoreReachable(),
 
 		UnreachableServices: e.opts.UnreachableServices(),
+		RecordsOrigins:      true,
 	}
 	if sequenced {
 		e.mu.Lock()
--- a/waxfleet/waxpeer/loads.go
+++ b/waxfleet/waxpeer/loads.go
@@ -63,6 +63,8 @@
 	// unreachableServices holds the services from all of whose servers the instance is cut
 	// off.
 	unreachableServices []uint64
+	// recordsOrigins is true if the instance writes origins to the store when asked to.
+	recordsOrigins bool
 }
 
 // Loads holds the load of all other instances: one report for each instance of the own
@@ -108,6 +110,7 @@
 		storeReachable: d.GetStoreAnswers(),
 
 		unreachableServices: d.GetUnreachableServices(),
+		recordsOrigins:      d.GetRecordsOrigins(),
 	}
 	r.asOf = now
 	r.byServer = decodeCounts(d.GetOwn())
@@ -286,6 +289,13 @@
 	return ok && r.storeReachable
 }
 
+// recordsOrigins reports whether the named instance was heard from within the timeout,
+// reaches the store and writes origins to it.
+func (l *Loads) recordsOrigins(name string, timeout waxfleet.Millis) bool {
+	r, ok := l.recentReport(name, timeout)
+	return ok && r.storeReachable && r.recordsOrigins
+}
+
 // reachesService reports whether the named instance was heard from within the timeout and
 // is not cut off from all servers of the service.
 func (l *Loads) reachesService(name string, service uint64, timeout waxfleet.Millis) bool {
--- a/waxfleet/waxpeer/origins.go
+++ b/waxfleet/waxpeer/origins.go
@@ -21,6 +21,10 @@
 	originTimeout waxfleet.Millis = 150
 	// maxOrigins is the maximum number of origins in a datagram; each takes about 40 bytes.
 	maxOrigins = 25
+	// originRecorders is the number of instances of a group that write origins to the store,
+	// and recordersKey the key of their rendezvous order.
+	originRecorders = 2
+	recordersKey    = 0x7265636f72646572
 )
 
 // originQueries holds the queries that wait for replies.
@@ -107,6 +111,41 @@
 	}
 }
 
+// Recorder returns the instance that writes the origins of this one to the store. It reports
+// true if that is this instance.
+func (e *Exchanger) Recorder() (recorder Peer, self bool) {
+	group := e.Topology().Group
+	timeout := followTimeout(len(group))
+	var candidates []Peer
+	if e.opts.StoreReachable() {
+		candidates = append(candidates, e.opts.Self)
+	}
+	for _, p := range group {
+		if e.loads.recordsOrigins(p.Name, timeout) {
+			candidates = append(candidates, p)
+		}
+	}
+	if len(candidates) == 0 {
+		return e.opts.Self, true
+	}
+	sortByWeight(recordersKey, candidates)
+	candidates = candidates[:min(originRecorders, len(candidates))]
+	if slices.ContainsFunc(candidates, func(p Peer) bool { return p.Name == e.opts.Self.Name }) {
+		return e.opts.Self, true
+	}
+	sortByWeight(NameHash(e.opts.Self.Name), candidates)
+	return candidates[0], false
+}
+
+// AskToRecord asks another instance to write origins to the store.
+func (e *Exchanger) AskToRecord(recorder Peer, origins []waxorigin.Origin) {
+	for part := range slices.Chunk(origins, maxOrigins) {
+		e.sendTo([]Peer{recorder}, &waxwire.LoadDatagram{
+			Instance: NameHash(e.opts.Self.Name), Origins: e.encodeOrigins(part), Record: true,
+		})
+	}
+}
+
 // AskOrigin asks the instances that were told of a stream for its origin.
 func (e *Exchanger) AskOrigin(ctx context.Context, stream uint64) (waxorigin.Origin, bool) {
 	holders := e.holders(stream)
@@ -137,9 +176,13 @@
 // applyOrigins records the origins of a datagram and replies to its queries.
 func (e *Exchanger) applyOrigins(d *waxwire.LoadDatagram, sender *net.UDPAddr) {
 	now := e.opts.Clock.Now()
-	for _, o := range d.GetOrigins() {
-		e.opts.Origins.Record(waxorigin.NewOrigin(o.GetStream(), o.GetService(), o.GetVersion(), now+waxfleet.Millis(o.GetRemainingMs())))
-		e.queries.reply(o.GetStream(), true)
+	for _, v := range d.GetOrigins() {
+		o := waxorigin.NewOrigin(v.GetStream(), v.GetService(), v.GetVersion(), now+waxfleet.Millis(v.GetRemainingMs()))
+		e.opts.Origins.Record(o)
+		if d.GetRecord() {
+			e.opts.RecordOrigins(o)
+		}
+		e.queries.reply(o.Stream(), true)
 	}
 	for _, stream := range d.GetUnknownOrigins() {
 		e.queries.reply(stream, false)
