waxfront: record origins of streams after 50 ms, and each 150 ms

Half of the streams that break at a kill are younger than half their length; with 100 and 250 ms, an origin was in the store up to 0.45 s after the first event. Now it takes up to 0.25 s. Outside a fleet that is one group, one instance of each failure domain writes, so that a large fleet makes no more calls.

Writing each origin at once would cost a call for each stream; their callers lose a tenth of a second of work.

--- a/waxfleet/waxfront/originlog.go
+++ b/waxfleet/waxfront/originlog.go
@@ -16,10 +16,10 @@
 const (
 	// originTick is the interval at which the origins of streams that have been under way for
 	// a while are passed on to the instance that writes them.
-	originTick waxfleet.Millis = 100
+	originTick waxfleet.Millis = 50
 	// originWriteInterval is the minimum interval between two writes of origins, and
 	// originRetryDelay the delay after a failed one.
-	originWriteInterval waxfleet.Millis = 250
+	originWriteInterval waxfleet.Millis = 150
 	originRetryDelay    waxfleet.Millis = 1_000
 	// originCallTimeout is the timeout of a call to the store.
 	originCallTimeout waxfleet.Millis = 1_000
--- a/waxfleet/waxorigin/journal.go
+++ b/waxfleet/waxorigin/journal.go
@@ -14,7 +14,7 @@
 
 const (
 	// minRecordAge is the age from which a stream is recorded. Shorter ones have ended.
-	minRecordAge waxfleet.Millis = 100
+	minRecordAge waxfleet.Millis = 50
 	// JournalSegments is the number of segments of a journal, and segmentPeriod the time for
 	// which one of them gets the new origins. An origin that lives longer than all periods
 	// together is carried over.
--- a/waxfleet/waxpeer/origins.go
+++ b/waxfleet/waxpeer/origins.go
@@ -21,9 +21,11 @@
 	originTimeout waxfleet.Millis = 150
 	// maxOrigins is the maximum number of origins in a datagram; each takes about 40 bytes.
 	maxOrigins = 25
-	// originRecorders is the number of instances of a group that write origins to the store,
-	// and recordersKey the key of their rendezvous order.
-	originRecorders = 2
+	// meshRecorders and domainRecorders are the numbers of instances that write origins to
+	// the store: of a fleet that is one group, and of each failure domain of a larger one.
+	// recordersKey is the key of their rendezvous order.
+	meshRecorders   = 2
+	domainRecorders = 1
 	recordersKey    = 0x7265636f72646572
 )
 
@@ -114,13 +116,16 @@
 // Recorder returns the instance that writes the origins of this one to the store. It reports
 // true if that is this instance.
 func (e *Exchanger) Recorder() (recorder Peer, self bool) {
-	group := e.Topology().Group
-	timeout := followTimeout(len(group))
+	t := e.Topology()
+	timeout, recorders := t.FollowTimeout(), domainRecorders
+	if t.WholeFleet {
+		recorders = meshRecorders
+	}
 	var candidates []Peer
 	if e.opts.StoreReachable() {
 		candidates = append(candidates, e.opts.Self)
 	}
-	for _, p := range group {
+	for _, p := range t.Group {
 		if e.loads.recordsOrigins(p.Name, timeout) {
 			candidates = append(candidates, p)
 		}
@@ -129,7 +134,7 @@
 		return e.opts.Self, true
 	}
 	sortByWeight(recordersKey, candidates)
-	candidates = candidates[:min(originRecorders, len(candidates))]
+	candidates = candidates[:min(recorders, len(candidates))]
 	if slices.ContainsFunc(candidates, func(p Peer) bool { return p.Name == e.opts.Self.Name }) {
 		return e.opts.Self, true
 	}
