waxpool: don't reuse a connection after a response without an attempt id

Cause: a rejection may name no attempt. On a connection that had carried one, a late second copy of it was taken for the rejection of the next request, which the engine runs meanwhile; the instance then sent it elsewhere.

Change: the connection is closed after a response that names no attempt. On every reused connection all earlier responses named theirs, and so do late copies of them; what names none there is the engine's word on this request.

--- a/waxfleet/waxpool/conn.go
+++ b/waxfleet/waxpool/conn.go
@@ -237,12 +237,13 @@
 }
 
 // Release returns the connection to its pool after the complete response was read. It
-// closes a connection that can't carry another request.
+// closes a connection that can't carry another request. One whose response names no attempt
+// is closed, too: a late second copy of it could not be told from the next response.
 func (c *Conn) Release(resp *Response) {
 	c.setPending(false)
 	select {
 	case err := <-resp.writeResult:
-		if err != nil || resp.Head.Close || resp.httpResponse.Close || c.reader.Buffered() > 0 {
+		if err != nil || resp.Head.ID == "" || resp.Head.Close || resp.httpResponse.Close || c.reader.Buffered() > 0 {
 			c.Discard()
 			return
 		}
--- a/waxfleet/waxpool/pool_test.go
+++ b/waxfleet/waxpool/pool_test.go
@@ -178,6 +178,27 @@
 	}
 }
 
+// TestRejectionWithoutID guards against taking the second copy of a rejection that names no
+// attempt, which arrives late, for the response to the next request on the connection.
+func TestRejectionWithoutID(t *testing.T) {
+	is := is.New(t)
+	const rejection = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+	address, requests := serveScript(t, []string{rejection, rejection + response("2", "two")}, []string{response("2", "two")})
+	p := New(waxfleet.NewClock(), plainProtocol{}, address, 4)
+	defer p.Close()
+	c, err := p.Get(context.Background())
+	is.NoErr(err)
+	resp, err := c.RoundTrip(request("1"))
+	is.NoErr(err)
+	is.True(resp.Head.NotRun)
+	c.Release(resp)
+	<-requests
+	body, reused, err := do(p, request("2"))
+	is.NoErr(err)
+	is.Equal(body, "two")
+	is.True(!reused)
+}
+
 // TestBrokenAnswers guards against an incomplete response that looks complete.
 func TestBrokenAnswers(t *testing.T) {
 	is := is.New(t)
