waxdispatch: don't reuse connections of services that name no attempts

Callers of the own interface could get the answer to another call: a plain service need not name the attempt in its responses, and a late second copy of one, on a connection that is in use again, was forwarded as the next answer.

Engines name their attempts, and their late answers were rejected already.

Change: calls to a plain service use a new connection until one of its responses names its attempt, and a response that names none counts only on a new connection. Services that name attempts keep their connections.

TestLateResponseWithoutIDIsNotForwarded: "answer 1" for the second call before; each call gets its own after.

--- a/waxfleet/waxdispatch/call.go
+++ b/waxfleet/waxdispatch/call.go
@@ -136,10 +136,12 @@
 // resumes and retries get a new connection: a pooled one may be closed, stalled
 // or deliver a late response. So do engine responses that are not streamed,
 // where a stalled connection can't be distinguished from a long generation and
-// would block the call for the generation timeout of 300 s.
+// would block the call for the generation timeout of 300 s. Responses of a plain service
+// that name no attempt can't be told from late ones on a pooled connection.
 func (c *callState) transport() *http.Transport {
 	unstreamedGeneration := c.isModelEngine() && !c.call.Stream
-	if c.call.AtMostOnce || unstreamedGeneration || c.resuming() || c.attemptCount > 1 {
+	unidentified := !c.isModelEngine() && !c.pool.namesAttempts()
+	if c.call.AtMostOnce || unstreamedGeneration || unidentified || c.resuming() || c.attemptCount > 1 {
 		return c.dispatcher.unpooledTransport
 	}
 	return c.pool.transport
@@ -186,6 +188,7 @@
 		return &failure{kind: failMismatch, cause: errors.Newf("%s is %q, not %q", headerRequestID, id, c.attemptID)}
 	}
 	if !c.isModelEngine() {
+		c.pool.setNamesAttempts(id != "")
 		return nil
 	}
 	status := resp.StatusCode
@@ -205,11 +208,11 @@
 	return nil
 }
 
-// mayOmitRequestID reports whether a response without an attempt id is accepted.
-// Plain services need not send it. An error response of an engine may omit it on
-// a new connection, where no response to an earlier request can arrive.
+// mayOmitRequestID reports whether a response without an attempt id is accepted: on a new
+// connection, where no response to an earlier request can arrive, those of plain services
+// and the error responses of engines.
 func (c *callState) mayOmitRequestID(e *exchange, resp *http.Response) bool {
-	return !c.isModelEngine() || (resp.StatusCode >= http.StatusBadRequest && !e.reused.Load())
+	return !e.reused.Load() && (!c.isModelEngine() || resp.StatusCode >= http.StatusBadRequest)
 }
 
 // discardResponse drops a response and its connection.
--- a/waxfleet/waxdispatch/dispatcher_test.go
+++ b/waxfleet/waxdispatch/dispatcher_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -439,6 +440,42 @@
 	}
 }
 
+// TestLateResponseWithoutIDIsNotForwarded guards against delivering a late response of a plain
+// service, which need not name the attempt, to the next call on a pooled connection. A
+// service that names the attempts keeps its connections.
+func TestLateResponseWithoutIDIsNotForwarded(t *testing.T) {
+	for _, names := range []bool{false, true} {
+		t.Run(fmt.Sprintf("names attempts %v", names), func(t *testing.T) {
+			is := is.New(t)
+			previous, reused := "", 0
+			b := newBackend(t, func(n int, e *engineCall) {
+				answer := fmt.Sprint("answer ", n)
+				if names {
+					e.setHeaders(e.id, "text/plain")
+				}
+				if e.connIndex > 1 {
+					reused++
+				}
+				if e.connIndex > 1 && !names {
+					answer, previous = previous, answer
+				} else {
+					previous = answer
+				}
+				e.writer.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+				_, _ = io.WriteString(e.writer, answer)
+			})
+			d := newDispatcher(waxfleet.NewClock(), Options{})
+			for n := range 5 {
+				s := &recordingSink{}
+				_, err := d.Do(t.Context(), plainCall(b.server(), http.MethodGet, false), s)
+				is.NoErr(err)
+				is.Equal(s.String(), fmt.Sprint("answer ", n+1))
+			}
+			is.Equal(reused > 0, names)
+		})
+	}
+}
+
 // TestLateResponseIsNotForwarded guards against delivering a late response on a pooled
 // connection to the next call.
 func TestLateResponseIsNotForwarded(t *testing.T) {
--- a/waxfleet/waxdispatch/pool.go
+++ b/waxfleet/waxdispatch/pool.go
@@ -31,6 +31,21 @@
 
 	mu          sync.Mutex
 	incarnation string
+	// identifies is true if the responses of the server name their attempts.
+	identifies bool
+}
+
+// namesAttempts reports whether the last response of the server named its attempt.
+func (s *serverPool) namesAttempts() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.identifies
+}
+
+func (s *serverPool) setNamesAttempts(names bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.identifies = names
 }
 
 // lastIncarnation returns the incarnation in the latest load report, or "".
