waxforward: ask a server whether it lives before its answer counts as whole

Cause: at the end of such an answer the instance opened a new connection to the engine, and took an accepted one as proof that the engine lives. A kernel closes the sockets of a dead process one after the other, and accepts for a listener until its turn comes. Also seen by the test: another process that listens in its place at once. Ruled out: the instance's own end of the answer, which followed the probe's result in each case.

Change: the server has to answer a request on a new connection that was opened after the end: its report (model engines, needs no slot) or its health check, with its own id and start time where it names them. A refused connection, another process, or no answer within two seconds means that the answer is incomplete: repeated where the route allows it, else broken off. Connections that are reset are tried again, since a server at its limit does that. The probe takes the connection's place among those that the server allows. Another instance, which answers everything, is asked the same way. The confirmed end also replaces the probe that followed such answers.

TestEndOfCloseDelimitedResponse now tells accepted, silent, closing and replaced servers apart.

--- a/waxfleet/protocol.go
+++ b/waxfleet/protocol.go
@@ -104,6 +104,12 @@
 	MarkPeerError(h http.Header, attempt string)
 	// DecodeResponse decodes the header of a response.
 	DecodeResponse(status int, h http.Header) ResponseHead
+	// ProbeTarget returns the target of a request that servers of the service answer without
+	// running work of callers.
+	ProbeTarget(service ServiceSpec) string
+	// DecodeProbe decodes the answer to it: the ID of the server, and its start time in Unix
+	// milliseconds. Either may be missing.
+	DecodeProbe(h http.Header, body []byte) (server string, startUnixMilli int64)
 	// CallerHeader returns the header fields of a response that are forwarded to
 	// the caller.
 	CallerHeader(h http.Header) http.Header
--- a/waxfleet/waxforward/relay.go
+++ b/waxfleet/waxforward/relay.go
@@ -33,15 +33,39 @@
 	return f.relayBuffered(ctx, req, resp)
 }
 
-// confirmEnd returns an error if a response that seems complete ended because its server
-// crashed.
-func confirmEnd(ctx context.Context, resp *waxpool.Response) error {
-	if err := resp.ConfirmEnd(ctx); refused(err) {
-		return waxfleet.WrapError(err, waxfleet.CodeBackendDied, "close-delimited response ended with a crash of the server")
+// confirmEnd returns an error unless the end of a close-delimited response was the end of the
+// response, and not that of its server.
+func (f *Forwarder) confirmEnd(ctx context.Context, req *requestState, resp *waxpool.Response) error {
+	if resp.Framed() {
+		return nil
+	}
+	started := f.opts.Clock.Now()
+	err := resp.ConfirmEnd(ctx, f.endProbe(req))
+	f.opts.Log.Info("end of a close-delimited response", "request", req.inbound.ID, "server", req.entry.Server().ID(), "peer", req.peer,
+		"last-event", req.response.lastEventID, "confirmed", err == nil, "after-ms", int64(f.opts.Clock.Now()-started))
+	if err != nil {
+		return waxfleet.WrapError(err, waxfleet.CodeBackendDied, "close-delimited response ended, and its server does not answer")
 	}
 	return nil
 }
 
+// endProbe returns the probe that the server of the request answers while it lives. Another
+// instance answers any target, with a refusal.
+func (f *Forwarder) endProbe(req *requestState) waxpool.Probe {
+	if req.peer != "" {
+		return waxpool.Probe{Target: "/", Check: func(http.Header, []byte) error { return nil }}
+	}
+	spec, _ := req.table.Service(req.service)
+	id, startedAt := req.entry.Server().ID(), req.entry.StartUnixMilli()
+	return waxpool.Probe{Target: f.opts.Protocol.ProbeTarget(spec), Check: func(h http.Header, body []byte) error {
+		server, start := f.opts.Protocol.DecodeProbe(h, body)
+		if server != "" && server != id || start != 0 && start != startedAt {
+			return waxfleet.NewError(waxfleet.CodeBackendDied, "%q, started at %d, answers instead of %q, started at %d", server, start, id, startedAt)
+		}
+		return nil
+	}}
+}
+
 // relayBuffered reads the complete response before it sends it. It streams a response
 // over maxBufferedBytes.
 func (f *Forwarder) relayBuffered(ctx context.Context, req *requestState, resp *waxpool.Response) (result, error) {
@@ -51,7 +75,7 @@
 	}
 	whole := len(body) < maxBufferedBytes
 	if whole {
-		if err := confirmEnd(ctx, resp); err != nil {
+		if err := f.confirmEnd(ctx, req, resp); err != nil {
 			return resultMayHaveRun, err
 		}
 	}
@@ -113,7 +137,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			if err := confirmEnd(ctx, resp); err != nil {
+			if err := f.confirmEnd(ctx, req, resp); err != nil {
 				return resultMayHaveRun, err
 			}
 			return resultComplete, nil
@@ -138,7 +162,7 @@
 	for {
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) {
-			return endStream(ctx, req, resp)
+			return f.endStream(ctx, req, resp)
 		}
 		if err != nil {
 			if errors.Is(context.Cause(ctx), errServerTimeout) {
@@ -178,7 +202,7 @@
 }
 
 // endStream returns the result of a stream that ended between two events.
-func endStream(ctx context.Context, req *requestState, resp *waxpool.Response) (result, error) {
+func (f *Forwarder) endStream(ctx context.Context, req *requestState, resp *waxpool.Response) (result, error) {
 	switch {
 	case resp.Framed():
 		if !req.response.headerSent() {
@@ -191,7 +215,7 @@
 		return resultMayHaveRun, waxfleet.NewError(waxfleet.CodeStreamIncomplete,
 			"close-delimited response can't confirm the end of a response with chunks, after event %d", req.response.lastEventID)
 	}
-	if err := confirmEnd(ctx, resp); err != nil {
+	if err := f.confirmEnd(ctx, req, resp); err != nil {
 		return resultMayHaveRun, err
 	}
 	return resultComplete, nil
--- a/waxfleet/waxforward/retry.go
+++ b/waxfleet/waxforward/retry.go
@@ -83,15 +83,11 @@
 		span.End()
 		f.servers.finish(state, req.service, healthEffectOf(ctx, res, err), ctx.Err() == nil && isTimeout(err))
 		if res == resultComplete {
-			if req.framed {
-				f.recordAnswer(req.traits)
-			} else {
-				f.probeServer(ctx, req, state, true)
-			}
+			f.recordAnswer(req.traits)
 			return nil
 		}
 		if res == resultMayHaveRun && ctx.Err() == nil {
-			f.probeServer(ctx, req, state, false)
+			f.probeServer(ctx, req, state)
 		}
 		if ctx.Err() != nil {
 			return f.contextError(ctx, req)
--- a/waxfleet/waxforward/suspect.go
+++ b/waxfleet/waxforward/suspect.go
@@ -91,10 +91,9 @@
 // server is not. Otherwise the network may have been cut.
 func refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
-// probeServer probes a server in the background after its connection failed or ended during
-// the request. It records a crash if the server is unreachable. Otherwise it records an
-// answer if the response seemed complete.
-func (f *Forwarder) probeServer(ctx context.Context, req *requestState, state *serverState, complete bool) {
+// probeServer probes a server in the background after its connection failed during the
+// request. It records a crash if the server is unreachable.
+func (f *Forwarder) probeServer(ctx context.Context, req *requestState, state *serverState) {
 	id, digest, entry := req.inbound.ID, req.digest, req.entry
 	sentAt, diedAt := req.sentAt, f.opts.Clock.Now()
 	traits, parts := req.suspectTraits(diedAt), sharedPartIDs(req.inbound.PromptParts)
@@ -107,9 +106,6 @@
 		conn, err := state.pool.Get(ctx)
 		if err == nil {
 			conn.ReleaseUnused()
-			if complete {
-				f.recordAnswer(req.traits)
-			}
 			return
 		}
 		if waxfleet.CodeOf(err) != waxfleet.CodePeerUnreachable {
--- a/waxfleet/waxpool/conn.go
+++ b/waxfleet/waxpool/conn.go
@@ -33,6 +33,13 @@
 	maxMismatchedResponses = 2
 	// maxSkippedBodyBytes is the maximum size of the body of such a response.
 	maxSkippedBodyBytes = 1 << 20
+	// confirmTimeout bounds the confirmation of the end of a response. A sound server may be
+	// silent for a second or so.
+	confirmTimeout waxfleet.Millis = 2_000
+	// confirmRetryDelay is the delay between two probes.
+	confirmRetryDelay waxfleet.Millis = 50
+	// maxProbeBytes is the maximum size of the answer to a probe.
+	maxProbeBytes = 64 << 10
 	// maxHeadBytes is the maximum size of the status line and header of a response, and of
 	// the interim responses before it. net/http sets no limit of its own.
 	maxHeadBytes = 64 << 10
@@ -132,16 +139,42 @@
 	return r.Length >= 0 || len(r.httpResponse.TransferEncoding) > 0 || r.httpResponse.Body == http.NoBody
 }
 
-// ConfirmEnd checks at the end of a close-delimited response that its server still accepts
-// connections. A server that crashed does not.
+// Probe is a request that a server answers without running work of callers.
+type Probe struct {
+	Target string
+	// Check returns an error if the answer comes from another process than the one that is
+	// asked.
+	Check func(h http.Header, body []byte) error
+}
+
+// ConfirmEnd checks at the end of a close-delimited response that the process of its server
+// lives on: it has to answer a probe on a new connection. An accepted connection alone shows
+// nothing, because the kernel closes the sockets of a dead process one after the other.
 //
-// Errors: like Pool.Probe.
-func (r *Response) ConfirmEnd(ctx context.Context) error {
+// Errors: CodeBackendDied when nothing answers within confirmTimeout, or another process
+// does.
+func (r *Response) ConfirmEnd(ctx context.Context, p Probe) error {
 	if r.Framed() {
 		return nil
 	}
-	r.conn.Discard()
-	return r.conn.pool.Probe(ctx)
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout.Duration())
+	defer cancel()
+	pool := r.conn.pool
+	// The probe takes the place of the connection, whatever the limit.
+	if !r.conn.closeKeepingPlace() {
+		return waxfleet.NewError(waxfleet.CodeBackendDied, "connection was discarded before its end")
+	}
+	defer pool.connClosed()
+	for {
+		err := pool.ask(ctx, p)
+		if err == nil || waxfleet.CodeOf(err) == waxfleet.CodeAnswerMismatch || errors.Is(err, syscall.ECONNREFUSED) {
+			return err
+		}
+		// A server at its limit of connections resets new ones.
+		if pool.clock.Sleep(ctx, confirmRetryDelay) != nil {
+			return err
+		}
+	}
 }
 
 // RoundTrip sends the request and reads the header of the response. A call of Discard by
@@ -288,6 +321,19 @@
 	c.pool.connClosed()
 }
 
+// closeKeepingPlace closes the connection and leaves its place among the open connections of
+// the pool to the caller. It reports false if the connection was discarded before.
+func (c *Conn) closeKeepingPlace() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.discarded {
+		return false
+	}
+	c.discarded = true
+	_ = c.Close()
+	return true
+}
+
 // reusable reports whether the connection is open and no bytes have arrived on it.
 func (c *Conn) reusable() bool {
 	if c.reader.Buffered() > 0 {
--- a/waxfleet/waxpool/pool.go
+++ b/waxfleet/waxpool/pool.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -117,14 +119,53 @@
 	p.openCount++
 	p.dialCount++
 	p.mu.Unlock()
-	conn, err := p.dialer.DialContext(ctx, "tcp4", p.address)
+	c, err := p.dial(ctx)
 	if err != nil {
 		p.connClosed()
+	}
+	return c, err
+}
+
+// dial opens a connection without regard to the limit.
+//
+// Errors: CodePeerUnreachable.
+func (p *Pool) dial(ctx context.Context) (*Conn, error) {
+	conn, err := p.dialer.DialContext(ctx, "tcp4", p.address)
+	if err != nil {
 		return nil, waxfleet.WrapError(err, waxfleet.CodePeerUnreachable, "failed to connect to %s", p.address)
 	}
 	return newConn(conn, p.protocol, p), nil
 }
 
+// ask sends a probe on a new connection, which takes a place that the caller holds, and
+// checks the answer. The connection is closed afterwards: the answer names no attempt.
+//
+// Errors: CodePeerUnreachable, CodeBackendDied, CodeAnswerMismatch when another process
+// answers.
+func (p *Pool) ask(ctx context.Context, probe Probe) error {
+	p.mu.Lock()
+	p.dialCount++
+	p.mu.Unlock()
+	c, err := p.dial(ctx)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = c.Close() }()
+	defer context.AfterFunc(ctx, func() { _ = c.Close() })()
+	resp, err := c.RoundTrip(Request{Method: http.MethodGet, Target: probe.Target, Host: p.address})
+	if err != nil {
+		return waxfleet.WrapError(err, waxfleet.CodeBackendDied, "no answer to the probe")
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxProbeBytes))
+	if err != nil {
+		return waxfleet.WrapError(err, waxfleet.CodeBackendDied, "answer to the probe ended early")
+	}
+	if err := probe.Check(resp.Header, body); err != nil {
+		return waxfleet.WrapError(err, waxfleet.CodeAnswerMismatch, "probe was answered by another process")
+	}
+	return nil
+}
+
 // takeIdle returns the most recently used idle connection, and closes those that have
 // expired or can't be reused. It returns nil when there is none.
 func (p *Pool) takeIdle() *Conn {
--- a/waxfleet/waxpool/pool_test.go
+++ b/waxfleet/waxpool/pool_test.go
@@ -47,6 +47,12 @@
 
 func (plainProtocol) MarkPeerError(http.Header, string) {}
 
+func (plainProtocol) ProbeTarget(waxfleet.ServiceSpec) string { return "/probe" }
+
+func (plainProtocol) DecodeProbe(http.Header, []byte) (server string, startUnixMilli int64) {
+	return "", 0
+}
+
 // serveScript runs a server with one conversation per connection. The server sends the
 // responses of the conversation, one for each request, and closes the connection. A
 // response that begins with "early " is sent before the request is read; then the server
@@ -300,45 +306,52 @@
 	})
 }
 
+// probeBehaviour is what a server does with a connection that a probe opens.
+type probeBehaviour string
+
+const (
+	answers probeBehaviour = "answers"
+	// resets and closes break the connection off after the probe was read.
+	resets probeBehaviour = "resets"
+	closes probeBehaviour = "closes"
+	// silent never answers, as the kernel of a process that has died.
+	silent probeBehaviour = "silent"
+)
+
 // TestEndOfCloseDelimitedResponse guards against taking the end of a close-delimited
-// response for complete although its server has crashed, against probes of servers whose
-// responses mark their end, and against a second connection for the next request.
+// response for complete although its server has died, against probes of servers whose
+// responses mark their end, and against probes that take places of requests.
 func TestEndOfCloseDelimitedResponse(t *testing.T) {
+	const closeDelimited = "HTTP/1.1 200 OK\r\nAttempt: 1\r\n\r\nbody"
 	for name, test := range map[string]struct {
 		response, method string
-		framed, crash    bool
-		dials            int64
+		// probes is what the server does with the probes; it stops listening before the others.
+		probes    []probeBehaviour
+		otherOne  bool
+		framed    bool
+		confirmed bool
+		dials     int64
 	}{
-		"alive":          {response: "HTTP/1.1 200 OK\r\nAttempt: 1\r\n\r\nbody", dials: 2},
-		"crashed":        {response: "HTTP/1.1 200 OK\r\nAttempt: 1\r\n\r\nbody", crash: true, dials: 2},
-		"length":         {response: response("1", "body"), framed: true, dials: 1},
-		"chunks":         {response: "HTTP/1.1 200 OK\r\nAttempt: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", framed: true, dials: 1},
-		"no body":        {response: "HTTP/1.1 204 No Content\r\nAttempt: 1\r\n\r\n", framed: true, dials: 1},
-		"head":           {response: "HTTP/1.1 200 OK\r\nAttempt: 1\r\n\r\n", method: http.MethodHead, framed: true, dials: 1},
-		"length crashed": {response: response("1", "body"), framed: true, crash: true, dials: 1},
+		"alive":               {response: closeDelimited, probes: []probeBehaviour{answers}, confirmed: true, dials: 2},
+		"alive at its limit":  {response: closeDelimited, probes: []probeBehaviour{resets, closes, answers}, confirmed: true, dials: 4},
+		"crashed":             {response: closeDelimited, dials: 2},
+		"crashed, accepted":   {response: closeDelimited, probes: []probeBehaviour{resets}, dials: 3},
+		"crashed, silent":     {response: closeDelimited, probes: []probeBehaviour{silent}, dials: 2},
+		"replaced":            {response: closeDelimited, probes: []probeBehaviour{answers}, otherOne: true, dials: 2},
+		"length":              {response: response("1", "body"), probes: []probeBehaviour{answers}, framed: true, confirmed: true, dials: 1},
+		"chunks":              {response: "HTTP/1.1 200 OK\r\nAttempt: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", framed: true, confirmed: true, dials: 1},
+		"no body":             {response: "HTTP/1.1 204 No Content\r\nAttempt: 1\r\n\r\n", framed: true, confirmed: true, dials: 1},
+		"head":                {response: "HTTP/1.1 200 OK\r\nAttempt: 1\r\n\r\n", method: http.MethodHead, framed: true, confirmed: true, dials: 1},
+		"length, crashed":     {response: response("1", "body"), framed: true, confirmed: true, dials: 1},
+		"crashed, slow close": {response: closeDelimited, probes: []probeBehaviour{closes, closes}, dials: 4},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			l, err := net.Listen("tcp4", "127.0.0.1:0")
 			is.NoErr(err)
-			defer func() { _ = l.Close() }()
-			go func() {
-				conn, err := l.Accept()
-				if err != nil {
-					return
-				}
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-					return
-				}
-				_, _ = io.WriteString(conn, test.response)
-				if test.crash {
-					_ = l.Close()
-				}
-				_ = conn.Close()
-				if conn, err = l.Accept(); err == nil {
-					t.Cleanup(func() { _ = conn.Close() })
-				}
-			}()
+			t.Cleanup(func() { _ = l.Close() })
+			go serveProbes(t, l, test.response, test.probes)
 			p := New(waxfleet.NewClock(), plainProtocol{}, l.Addr().String(), 1)
 			defer p.Close()
 			c, err := p.Get(context.Background())
@@ -352,19 +365,49 @@
 			_, err = io.ReadAll(resp.Body)
 			is.NoErr(err)
 			is.Equal(resp.Framed(), test.framed)
-			err = resp.ConfirmEnd(context.Background())
-			is.Equal(errors.Is(err, syscall.ECONNREFUSED), test.crash && !test.framed)
+			err = resp.ConfirmEnd(context.Background(), Probe{Target: "/probe", Check: func(http.Header, []byte) error {
+				if test.otherOne {
+					return errors.New("another process")
+				}
+				return nil
+			}})
+			is.Equal(err == nil, test.confirmed)
 			is.Equal(p.DialCount(), test.dials)
-			if test.framed || test.crash {
-				return
-			}
-			_, err = p.Get(context.Background())
-			is.NoErr(err)
-			is.Equal(p.DialCount(), test.dials) // the connection was kept
+			c.Discard()
+			is.Equal(p.openCount, 0) // neither the connection nor the probes keep a place
 		})
 	}
 }
 
+// serveProbes sends a response on the first connection, treats the following ones as probes,
+// and stops listening before that of the last one closes.
+func serveProbes(t *testing.T, l net.Listener, response string, probes []probeBehaviour) {
+	for i := range len(probes) + 1 {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		if i == len(probes) {
+			_ = l.Close()
+		}
+		switch {
+		case i == 0:
+			_, _ = io.WriteString(conn, response)
+		case probes[i-1] == answers:
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		case probes[i-1] == resets:
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		case probes[i-1] == silent:
+			t.Cleanup(func() { _ = conn.Close() })
+			continue
+		}
+		_ = conn.Close()
+	}
+}
+
 // TestSilenceEndsConnection guards against connections that the kernel ends while a sound
 // server is silent for up to two seconds. With a user timeout, keep-alive probes give up at
 // the first one after it, whatever their number, and the silence may begin just before the
