waxforward: log who answers for the end of a close-delimited response

The record of streams that ended too early could not tell whether an instance took an answer of another process for proof that a server lives: the line at the end of a close-delimited response said only that the end was confirmed. It has the start time that was asked for, who answered with which start time, and the number of probes now.

Nothing else changes.

--- a/waxfleet/waxforward/relay.go
+++ b/waxfleet/waxforward/relay.go
@@ -40,30 +40,62 @@
 		return nil
 	}
 	started := f.opts.Clock.Now()
-	err := resp.ConfirmEnd(ctx, f.endProbe(req))
-	f.opts.Log.Info("end of a close-delimited response", "request", req.inbound.ID, "server", req.entry.Server().ID(), "peer", req.peer,
-		"last-event", req.response.lastEventID, "confirmed", err == nil, "after-ms", int64(f.opts.Clock.Now()-started))
+	probe := f.newEndProbe(req)
+	probes, err := resp.ConfirmEnd(ctx, waxpool.Probe{Target: probe.target, Check: probe.check})
+	attrs := []any{
+		"request", req.inbound.ID, "server", req.entry.Server().ID(), "peer", req.peer, "last-event", req.response.lastEventID,
+		"confirmed", err == nil, "start", probe.start, "probes", probes,
+		"answered-by", probe.answeredBy, "answered-start", probe.answeredStart, "after-ms", int64(f.opts.Clock.Now() - started),
+	}
+	if err != nil {
+		attrs = append(attrs, "error", err.Error())
+	}
+	f.opts.Log.Info("end of a close-delimited response", attrs...)
 	if err != nil {
 		return waxfleet.WrapError(err, waxfleet.CodeBackendDied, "close-delimited response ended, and its server does not answer")
 	}
 	return nil
 }
 
-// endProbe returns the probe that the server of the request answers while it lives. Another
-// instance answers any target, with a refusal.
-func (f *Forwarder) endProbe(req *requestState) waxpool.Probe {
+// endProbe is a question that a server answers while it lives, and what its answers say.
+type endProbe struct {
+	protocol waxfleet.Protocol
+	target   string
+	// anyAnswer is true for another instance, which answers any target with a refusal.
+	anyAnswer bool
+	// server and start are the ID and the start time of the server that is asked, in Unix
+	// milliseconds.
+	server string
+	start  int64
+	// answeredBy and answeredStart are those that the last answer names; "" and 0 if it names
+	// none.
+	answeredBy    string
+	answeredStart int64
+}
+
+// newEndProbe returns the probe for the server, or the other instance, of a request.
+func (f *Forwarder) newEndProbe(req *requestState) *endProbe {
 	if req.peer != "" {
-		return waxpool.Probe{Target: "/", Check: func(http.Header, []byte) error { return nil }}
+		return &endProbe{target: "/", anyAnswer: true}
 	}
 	spec, _ := req.table.Service(req.service)
-	id, startedAt := req.entry.Server().ID(), req.entry.StartUnixMilli()
-	return waxpool.Probe{Target: f.opts.Protocol.ProbeTarget(spec), Check: func(h http.Header, body []byte) error {
-		server, start := f.opts.Protocol.DecodeProbe(h, body)
-		if server != "" && server != id || start != 0 && start != startedAt {
-			return waxfleet.NewError(waxfleet.CodeBackendDied, "%q, started at %d, answers instead of %q, started at %d", server, start, id, startedAt)
-		}
+	return &endProbe{
+		protocol: f.opts.Protocol, target: f.opts.Protocol.ProbeTarget(spec),
+		server: req.entry.Server().ID(), start: req.entry.StartUnixMilli(),
+	}
+}
+
+// check returns an error if the answer is that of another process.
+func (p *endProbe) check(h http.Header, body []byte) error {
+	if p.anyAnswer {
 		return nil
-	}}
+	}
+	p.answeredBy, p.answeredStart = p.protocol.DecodeProbe(h, body)
+	if p.answeredBy != "" && p.answeredBy != p.server || p.answeredStart != 0 && p.answeredStart != p.start {
+		return waxfleet.NewError(waxfleet.CodeBackendDied, "%q, started at %d, answers instead of %q, started at %d",
+			p.answeredBy, p.answeredStart, p.server, p.start)
+	}
+	return nil
 }
 
 // relayBuffered reads the complete response before it sends it. It streams a response
--- a/waxfleet/waxpool/conn.go
+++ b/waxfleet/waxpool/conn.go
@@ -149,30 +149,32 @@
 
 // ConfirmEnd checks at the end of a close-delimited response that the process of its server
 // lives on: it has to answer a probe on a new connection. An accepted connection alone shows
-// nothing, because the kernel closes the sockets of a dead process one after the other.
+// nothing, because the kernel closes the sockets of a dead process one after the other. It
+// returns the number of probes that were sent.
 //
 // Errors: CodeBackendDied when nothing answers within confirmTimeout, or another process
 // does.
-func (r *Response) ConfirmEnd(ctx context.Context, p Probe) error {
+func (r *Response) ConfirmEnd(ctx context.Context, p Probe) (probes int, err error) {
 	if r.Framed() {
-		return nil
+		return 0, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout.Duration())
 	defer cancel()
 	pool := r.conn.pool
 	// The probe takes the place of the connection, whatever the limit.
 	if !r.conn.closeKeepingPlace() {
-		return waxfleet.NewError(waxfleet.CodeBackendDied, "connection was discarded before its end")
+		return 0, waxfleet.NewError(waxfleet.CodeBackendDied, "connection was discarded before its end")
 	}
 	defer pool.connClosed()
 	for {
+		probes++
 		err := pool.ask(ctx, p)
 		if err == nil || waxfleet.CodeOf(err) == waxfleet.CodeAnswerMismatch || errors.Is(err, syscall.ECONNREFUSED) {
-			return err
+			return probes, err
 		}
 		// A server at its limit of connections resets new ones.
 		if pool.clock.Sleep(ctx, confirmRetryDelay) != nil {
-			return err
+			return probes, err
 		}
 	}
 }
--- a/waxfleet/waxpool/pool_test.go
+++ b/waxfleet/waxpool/pool_test.go
@@ -365,7 +365,7 @@
 			_, err = io.ReadAll(resp.Body)
 			is.NoErr(err)
 			is.Equal(resp.Framed(), test.framed)
-			err = resp.ConfirmEnd(context.Background(), Probe{Target: "/probe", Check: func(http.Header, []byte) error {
+			_, err = resp.ConfirmEnd(context.Background(), Probe{Target: "/probe", Check: func(http.Header, []byte) error {
 				if test.otherOne {
 					return errors.New("another process")
 				}
