waxforward: count a response of another instance only if it states its end

Callers of an instance that is cut off from all servers got torn streams that ended as complete. Their instance sends requests through another one.

Cause: the question "does this process live" was put to the wrong process. The end of a connection between two instances says nothing of the server behind them. Ruled out: a start time in the answer of an instance, which would not help against one that lives and has given the response up.

An instance sends such a response to another one in chunks, with a mark that the server had sent none. The last chunk comes once the server was found alive. The other instance removes the mark and passes the response on without chunks, as before.

--- a/waxfleet/protocol.go
+++ b/waxfleet/protocol.go
@@ -86,6 +86,9 @@
 	MaxRejects int
 	// Leaving reports that the server is shutting down.
 	Leaving bool
+	// CloseDelimited reports that another instance got the response without a length and
+	// chunks. The end that the other instance states is confirmed.
+	CloseDelimited bool
 }
 
 // Protocol translates between HTTP headers and the types of this package. It makes
@@ -102,6 +105,9 @@
 	// MarkPeerError adds to the header of an error response for another instance that it
 	// belongs to the attempt.
 	MarkPeerError(h http.Header, attempt string)
+	// MarkCloseDelimited adds to the header of a response for another instance that its
+	// backend server sent it without a length and chunks.
+	MarkCloseDelimited(h http.Header)
 	// DecodeResponse decodes the header of a response.
 	DecodeResponse(status int, h http.Header) ResponseHead
 	// ProbeTarget returns the target of a request that servers of the service answer without
--- a/waxfleet/waxforward/relay.go
+++ b/waxfleet/waxforward/relay.go
@@ -33,17 +33,27 @@
 	return f.relayBuffered(ctx, req, resp)
 }
 
+// closeDelimited reports whether the backend server sent the response without a length and
+// chunks, maybe to another instance.
+func closeDelimited(req *requestState, resp *waxpool.Response) bool {
+	return !resp.Framed() || req.peer != "" && resp.Head.CloseDelimited
+}
+
 // confirmEnd returns an error unless the end of a close-delimited response was the end of the
-// response, and not that of its server.
+// response, and not that of its server. Another instance has confirmed an end that it states;
+// one that states none may have given the response up.
 func (f *Forwarder) confirmEnd(ctx context.Context, req *requestState, resp *waxpool.Response) error {
 	if resp.Framed() {
 		return nil
 	}
+	if req.peer != "" {
+		return waxfleet.NewError(waxfleet.CodeStreamIncomplete, "%s did not state the end of its response", req.peer)
+	}
 	started := f.opts.Clock.Now()
 	probe := f.newEndProbe(req)
 	probes, err := resp.ConfirmEnd(ctx, waxpool.Probe{Target: probe.target, Check: probe.check})
 	attrs := []any{
-		"request", req.inbound.ID, "server", req.entry.Server().ID(), "peer", req.peer, "last-event", req.response.lastEventID,
+		"request", req.inbound.ID, "server", req.entry.Server().ID(), "last-event", req.response.lastEventID,
 		"confirmed", err == nil, "start", probe.start, "probes", probes,
 		"answered-by", probe.answeredBy, "answered-start", probe.answeredStart, "after-ms", int64(f.opts.Clock.Now() - started),
 	}
@@ -61,8 +71,6 @@
 type endProbe struct {
 	protocol waxfleet.Protocol
 	target   string
-	// anyAnswer is true for another instance, which answers any target with a refusal.
-	anyAnswer bool
 	// server and start are the ID and the start time of the server that is asked, in Unix
 	// milliseconds.
 	server string
@@ -73,11 +81,8 @@
 	answeredStart int64
 }
 
-// newEndProbe returns the probe for the server, or the other instance, of a request.
+// newEndProbe returns the probe for the server of a request.
 func (f *Forwarder) newEndProbe(req *requestState) *endProbe {
-	if req.peer != "" {
-		return &endProbe{target: "/", anyAnswer: true}
-	}
 	spec, _ := req.table.Service(req.service)
 	return &endProbe{
 		protocol: f.opts.Protocol, target: f.opts.Protocol.ProbeTarget(spec),
@@ -87,9 +92,6 @@
 
 // check returns an error if the answer is that of another process.
 func (p *endProbe) check(h http.Header, body []byte) error {
-	if p.anyAnswer {
-		return nil
-	}
 	p.answeredBy, p.answeredStart = p.protocol.DecodeProbe(h, body)
 	if p.answeredBy != "" && p.answeredBy != p.server || p.answeredStart != 0 && p.answeredStart != p.start {
 		return waxfleet.NewError(waxfleet.CodeBackendDied, "%q, started at %d, answers instead of %q, started at %d",
@@ -121,10 +123,10 @@
 		return resultServerFailure, waxfleet.NewError(waxfleet.CodeBackendError, "server responded with status %d", resp.Status)
 	}
 	if whole {
-		req.response.writeHeader(resp, contentLength(req.method, resp, len(body)))
+		req.response.writeHeader(resp, contentLength(req.method, resp, len(body)), closeDelimited(req, resp))
 		return resultOfWrite(req.response.write(body))
 	}
-	req.response.writeHeader(resp, resp.Length)
+	req.response.writeHeader(resp, resp.Length, closeDelimited(req, resp))
 	if err := req.response.write(body); err != nil {
 		return resultCallerDisconnected, err
 	}
@@ -222,7 +224,7 @@
 			if req.peer == "" {
 				f.recordOrigin(req)
 			}
-			req.response.writeHeader(resp, -1)
+			req.response.writeHeader(resp, -1, closeDelimited(req, resp))
 		}
 		if err := req.response.write(event); err != nil {
 			return resultCallerDisconnected, err
@@ -236,9 +238,9 @@
 // endStream returns the result of a stream that ended between two events.
 func (f *Forwarder) endStream(ctx context.Context, req *requestState, resp *waxpool.Response) (result, error) {
 	switch {
-	case resp.Framed():
+	case !closeDelimited(req, resp):
 		if !req.response.headerSent() {
-			req.response.writeHeader(resp, -1)
+			req.response.writeHeader(resp, -1, false)
 		}
 		return resultComplete, nil
 	case !req.response.headerSent():
--- a/waxfleet/waxforward/responsewriter.go
+++ b/waxfleet/waxforward/responsewriter.go
@@ -24,7 +24,8 @@
 	lastEventID int64
 	// http10 is true for a caller that does not understand chunks.
 	http10 bool
-	// closeDelimited is true if the response ends with the caller's connection.
+	// closeDelimited is true if the response ends with the caller's connection, or with that
+	// of the caller of the instance to which it goes.
 	closeDelimited bool
 	// fromPeer is true if the response goes to another instance.
 	fromPeer bool
@@ -55,8 +56,10 @@
 
 // writeHeader sends the header of the backend server's response. length is the length of
 // the body in bytes, or -1 if unknown. A close-delimited response stays close-delimited:
-// chunks or a length would state that its body is complete, which nobody knows.
-func (rw *responseWriter) writeHeader(resp *waxpool.Response, length int64) {
+// chunks or a length would state that its body is complete, which nobody knows. Another
+// instance gets chunks and a mark, because the end of a connection does not tell it whether
+// the server was found alive.
+func (rw *responseWriter) writeHeader(resp *waxpool.Response, length int64, closeDelimited bool) {
 	out := rw.w.Header()
 	for name, values := range rw.protocol.CallerHeader(resp.Header) {
 		out[name] = values
@@ -69,7 +72,10 @@
 		}
 	}
 	switch {
-	case !resp.Framed():
+	case closeDelimited && rw.fromPeer:
+		rw.protocol.MarkCloseDelimited(out)
+		rw.closeDelimited = true
+	case closeDelimited:
 		// Makes net/http omit the chunks and close the connection.
 		out.Set("Transfer-Encoding", "identity")
 		rw.closeDelimited = true
--- a/waxfleet/waxpool/pool_test.go
+++ b/waxfleet/waxpool/pool_test.go
@@ -47,6 +47,8 @@
 
 func (plainProtocol) MarkPeerError(http.Header, string) {}
 
+func (plainProtocol) MarkCloseDelimited(http.Header) {}
+
 func (plainProtocol) ProbeTarget(waxfleet.ServiceSpec) string { return "/probe" }
 
 func (plainProtocol) DecodeProbe(http.Header, []byte) (server string, startUnixMilli int64) {
