waxforward: expect the start time that a server named last

Callers got whole streams that were reset after their last event, for no fault of the server: an answer without length and chunks counted as whole only if the server named the start time of its entry, and the entry of a server that was started again under its id stays the old one while the store is away.

Cause: the entry was taken for what the server is. Ruled out: to let any start time count, which passes torn answers on; and clocks ("started before the request was sent"), which may differ.

The start time that a server named last is kept beside its entry, and holds for requests that are sent after that. The first answer after a restart may still be broken off where no connection was open before.

--- a/waxfleet/waxforward/forwarder.go
+++ b/waxfleet/waxforward/forwarder.go
@@ -152,6 +152,10 @@
 	peer     string
 	// entry is the entry of the server selected last, as of the selection.
 	entry waxfleet.BackendServerEntry
+	// state is the state of that server, and start the start time in Unix milliseconds that
+	// its process had when the request was sent, as far as known.
+	state *serverState
+	start int64
 	// digest identifies the request and the caller's retries of it.
 	digest string
 	// traits are the properties for which the request may be banned. The last one is that
--- a/waxfleet/waxforward/relay.go
+++ b/waxfleet/waxforward/relay.go
@@ -57,6 +57,9 @@
 		"confirmed", err == nil, "start", probe.start, "probes", probes,
 		"answered-by", probe.answeredBy, "answered-start", probe.answeredStart, "open-connection", probe.open, "after-ms", int64(f.opts.Clock.Now() - started),
 	}
+	if probe.answeredBy == "" || probe.answeredBy == probe.server {
+		f.servers.observeStart(req.state, probe.answeredStart)
+	}
 	if err != nil {
 		attrs = append(attrs, "error", err.Error())
 	}
@@ -89,7 +92,7 @@
 	target, _ := f.opts.Protocol.ProbeTarget(spec)
 	return &endProbe{
 		protocol: f.opts.Protocol, target: target,
-		server: req.entry.Server().ID(), start: req.entry.StartUnixMilli(),
+		server: req.entry.Server().ID(), start: req.start,
 	}
 }
 
--- a/waxfleet/waxforward/send.go
+++ b/waxfleet/waxforward/send.go
@@ -60,6 +60,7 @@
 		timer = time.AfterFunc(timeout.Duration(), func() { cancel(errServerTimeout) })
 		defer timer.Stop()
 	}
+	req.state, req.start = state, f.servers.startOf(state)
 	resp, err := conn.RoundTrip(f.backendRequest(req, id))
 	if err != nil {
 		conn.Discard()
--- a/waxfleet/waxforward/server.go
+++ b/waxfleet/waxforward/server.go
@@ -27,6 +27,9 @@
 	// limitBucket holds this instance's share of the rate limit that the server names.
 	limitBucket waxquota.TokenBucket
 	health      waxpick.Health
+	// start is the start time in Unix milliseconds that the server named last. The entry may
+	// be older while the store is away.
+	start int64
 	// pausedUntil is the end of the time for which the server wants no requests.
 	pausedUntil waxfleet.Millis
 }
@@ -131,6 +134,7 @@
 	}
 	state = &serverState{
 		entry:           e,
+		start:           e.StartUnixMilli(),
 		incarnationHash: waxcache.IncarnationHash(id, e.StartUnixMilli()),
 		pool:            waxpool.New(s.clock, s.protocol, e.Server().Address(), connections),
 	}
@@ -176,6 +180,23 @@
 	s.serviceState(state.entry.Server().Service()).link.RecordConnection(state.entry.Server().ID(), true)
 }
 
+// startOf returns the start time of a server in Unix milliseconds, as far as known.
+func (s *Servers) startOf(state *serverState) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return state.start
+}
+
+// observeStart records the start time that a server named; 0 if it named none.
+func (s *Servers) observeStart(state *serverState, start int64) {
+	if start == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state.start = start
+}
+
 // pause records that a server wants no requests for some time.
 func (s *Servers) pause(state *serverState, d waxfleet.Millis) {
 	s.mu.Lock()
