waxpool: don't take bytes that wait on a connection for an answer to a probe

A response that a server had sent before, such as a 408 at its idle timeout or a second copy of a rejection, would count as its answer to the question whether it lives, also if it had died since, and a torn response would end as complete. Found by a review of the probe on open connections; no caller has seen it.

Connections for requests are checked for such bytes; those for probes were not. They are now, and one that hangs leaves half of the time for a new connection.

TestProbeOnClosedConnection fails before.

--- a/waxfleet/waxpool/conn.go
+++ b/waxfleet/waxpool/conn.go
@@ -348,6 +348,13 @@
 // Errors: CodeBackendDied, CodeAnswerMismatch when another process answers.
 func (c *Conn) askOpen(ctx context.Context, p Probe) error {
 	defer c.Discard()
+	// Bytes that are there already are no answer.
+	if !c.reusable() {
+		return waxfleet.NewError(waxfleet.CodeBackendDied, "connection ended before the probe")
+	}
+	// A connection that hangs leaves time for a new one.
+	ctx, cancel := context.WithTimeout(ctx, (confirmTimeout / 2).Duration())
+	defer cancel()
 	defer context.AfterFunc(ctx, c.Discard)()
 	if err := c.ask(p, true); err != nil {
 		return err
--- a/waxfleet/waxpool/pool_test.go
+++ b/waxfleet/waxpool/pool_test.go
@@ -448,6 +448,32 @@
 	}
 }
 
+// TestProbeOnClosedConnection guards against bytes that the server had sent before the probe,
+// and that count as its answer.
+func TestProbeOnClosedConnection(t *testing.T) {
+	is := is.New(t)
+	late := "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n"
+	address, _ := serveScript(t, []string{response("1", "a")}, []string{"HTTP/1.1 200 OK\r\nAttempt: 2\r\n\r\nbody"})
+	p := New(waxfleet.NewClock(), plainProtocol{}, address, 9)
+	defer p.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	_, _, err := do(p, request("1"))
+	is.NoErr(err)
+	// The server has written a late response when the probe is sent.
+	p.idle[0].reader = bufio.NewReader(io.MultiReader(strings.NewReader(late), p.idle[0].Conn))
+	_, err = p.idle[0].reader.Peek(1)
+	is.NoErr(err)
+	c, err := p.open(ctx)
+	is.NoErr(err)
+	resp, err := c.RoundTrip(request("2"))
+	is.NoErr(err)
+	_, err = io.ReadAll(resp.Body)
+	is.NoErr(err)
+	_, err = resp.ConfirmEnd(ctx, Probe{Target: "/probe", Check: func(http.Header, []byte, bool) error { return nil }})
+	is.True(err != nil) // nobody lives
+}
+
 // TestSpareConnection guards against ends of responses that can't be confirmed because no other
 // connection was open, and against a connection that is opened for each request.
 func TestSpareConnection(t *testing.T) {
