waxpool: keep a spare connection for each request, and only when it may be needed

Found by a review of the spare connections to plain servers, before any caller saw it:

- Answers without length and chunks that came at once broke each other off: one spare connection served all, and a request could get that of another one.
Each request under way has one now, and the newest that is older than a request goes first, so that earlier requests keep theirs.
- An answer of more than a second lost its spare connection, which the pool itself closed.
Spare ones stay for as long as requests are under way.
- A server that takes few connections would reset those that were opened in place of a usable idle one.
Spare ones are kept only for 5 s after the first use of a server and 30 s after such an answer of its service, and at the limit of connections requests get them.
- Services with neither a cache nor a health check counted as naming start times.
A late answer of an earlier process could replace the start time of a later one.

--- a/waxfleet/waxforward/relay.go
+++ b/waxfleet/waxforward/relay.go
@@ -58,14 +58,17 @@
 		"answered-by", probe.answeredBy, "answered-start", probe.answeredStart, "open-connection", probe.open, "after-ms", int64(f.opts.Clock.Now() - started),
 	}
 	if probe.answeredBy == "" || probe.answeredBy == probe.server {
-		f.servers.observeStart(req.state, probe.answeredStart)
+		f.servers.observeStart(req.state, req.start, probe.answeredStart)
+	}
+	if probe.answeredStart == 0 {
+		f.servers.keepSpares(req.service)
 	}
 	if err != nil {
 		attrs = append(attrs, "error", err.Error())
 	}
 	f.opts.Log.Info("end of a close-delimited response", attrs...)
 	if err != nil {
-		return waxfleet.WrapError(err, waxfleet.CodeBackendDied, "close-delimited response ended, and its server does not answer")
+		return waxfleet.WrapError(err, waxfleet.CodeBackendDied, "close-delimited response ended, and its server was not shown to be alive")
 	}
 	return nil
 }
@@ -75,7 +78,7 @@
 	protocol waxfleet.Protocol
 	target   string
 	// server is the ID of the server that is asked, and start its start time in Unix
-	// milliseconds, or 0 if it names none.
+	// milliseconds as far as known, or 0.
 	server string
 	start  int64
 	// answeredBy and answeredStart are those that the last answer names; "" and 0 if it names
@@ -104,7 +107,7 @@
 	switch {
 	case p.answeredBy != "" && p.answeredBy != p.server:
 		return waxfleet.NewError(waxfleet.CodeBackendDied, "%q answers instead of %q", p.answeredBy, p.server)
-	case open || p.start == 0 || p.answeredStart == p.start:
+	case open || p.answeredStart == p.start:
 		return nil
 	case p.answeredStart == 0:
 		return waxfleet.NewError(waxfleet.CodeBackendDied, "answer names no start time")
--- a/waxfleet/waxforward/server.go
+++ b/waxfleet/waxforward/server.go
@@ -43,6 +43,9 @@
 	// number of requests that one of them may reject in a second.
 	brittleUntil waxfleet.Millis
 	maxRejects   int
+	// spareUntil is the time until which connections to the servers are kept idle, because
+	// the ends of their responses have to be confirmed.
+	spareUntil waxfleet.Millis
 }
 
 // domainState is the local state of a failure domain.
@@ -126,7 +129,6 @@
 	if state != nil && state.entry.StartUnixMilli() == e.StartUnixMilli() && state.entry.Server().Address() == e.Server().Address() {
 		state.entry = e
 		state.pool.SetLimit(connections)
-		state.pool.SetSpare(spare)
 		return state
 	}
 	if state != nil {
@@ -138,7 +140,9 @@
 		incarnationHash: waxcache.IncarnationHash(id, e.StartUnixMilli()),
 		pool:            waxpool.New(s.clock, s.protocol, e.Server().Address(), connections),
 	}
-	state.pool.SetSpare(spare)
+	if spare {
+		state.pool.KeepSpares(max(s.clock.Now()+firstSpareDuration, s.serviceState(e.Server().Service()).spareUntil))
+	}
 	s.servers[id] = state
 	return state
 }
@@ -187,14 +191,36 @@
 	return state.start
 }
 
-// observeStart records the start time that a server named; 0 if it named none.
-func (s *Servers) observeStart(state *serverState, start int64) {
-	if start == 0 {
-		return
+// observeStart records the start time that a server named, or 0, in answer to a question that
+// was asked when its start time was believed to be expected.
+func (s *Servers) observeStart(state *serverState, expected, start int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if start != 0 && state.start == expected {
+		state.start = start
 	}
+}
+
+const (
+	// firstSpareDuration is the time after the first use of a server, and spareDuration that
+	// after a close-delimited response, for which connections to servers that don't name
+	// their start times are kept idle.
+	firstSpareDuration waxfleet.Millis = 5_000
+	spareDuration      waxfleet.Millis = 30_000
+)
+
+// keepSpares keeps connections to the servers of a service idle, after one of them has sent a
+// close-delimited response and has named no start time.
+func (s *Servers) keepSpares(service string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	state.start = start
+	until := s.clock.Now() + spareDuration
+	s.serviceState(service).spareUntil = until
+	for _, state := range s.servers {
+		if state.entry.Server().Service() == service {
+			state.pool.KeepSpares(until)
+		}
+	}
 }
 
 // pause records that a server wants no requests for some time.
--- a/waxfleet/waxpool/conn.go
+++ b/waxfleet/waxpool/conn.go
@@ -95,9 +95,9 @@
 	// idleUntil is when the idle connection expires.
 	idleUntil waxfleet.Millis
 	useCount  int
-	// openedAt and sentAt are the positions, in the order of the pool, at which the connection
-	// was opened and its last request was sent.
-	openedAt, sentAt int64
+	// openedPosition and sentPosition are the positions, in the order of the pool, at which the
+	// connection was opened and its last request was sent.
+	openedPosition, sentPosition int64
 
 	mu        sync.Mutex
 	discarded bool
@@ -108,7 +108,7 @@
 func newConn(conn net.Conn, protocol waxfleet.Protocol, pool *Pool) *Conn {
 	limiter := &headLimiter{source: conn, remaining: -1}
 	return &Conn{
-		Conn: conn, protocol: protocol, pool: pool, openedAt: pool.nextPosition(),
+		Conn: conn, protocol: protocol, pool: pool, openedPosition: pool.nextPosition(),
 		limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes),
 	}
 }
@@ -131,8 +131,8 @@
 	Length int64
 
 	conn *Conn
-	// sentAt is the position at which the request was sent.
-	sentAt       int64
+	// sentPosition is the position at which the request was sent.
+	sentPosition int64
 	httpResponse *http.Response
 	// writeResult receives the result of writing the request.
 	writeResult chan error
@@ -176,7 +176,7 @@
 		return 0, waxfleet.NewError(waxfleet.CodeBackendDied, "connection was discarded before its end")
 	}
 	defer pool.connClosed()
-	for c := pool.takeOpenedBefore(r.sentAt); c != nil; c = pool.takeOpenedBefore(r.sentAt) {
+	for c := pool.takeOpenedBefore(r.sentPosition); c != nil; c = pool.takeOpenedBefore(r.sentPosition) {
 		probes++
 		err := c.askOpen(ctx, p)
 		if err == nil || waxfleet.CodeOf(err) == waxfleet.CodeAnswerMismatch {
@@ -204,7 +204,7 @@
 // cases the request may have run.
 func (c *Conn) RoundTrip(r Request) (*Response, error) {
 	c.useCount++
-	c.sentAt = c.pool.nextPosition()
+	c.sentPosition = c.pool.nextPosition()
 	c.setPending(true)
 	head := requestHead(r)
 	writeResult := make(chan error, 1)
@@ -277,7 +277,7 @@
 				Body:         httpResp.Body,
 				Length:       httpResp.ContentLength,
 				conn:         c,
-				sentAt:       c.sentAt,
+				sentPosition: c.sentPosition,
 				httpResponse: httpResp,
 				writeResult:  writeResult,
 			}, nil
--- a/waxfleet/waxpool/pool.go
+++ b/waxfleet/waxpool/pool.go
@@ -31,8 +31,6 @@
 	// unusedIdleTimeout is the idle timeout of a connection that has carried no request.
 	// Servers may give such connections less time than others.
 	unusedIdleTimeout waxfleet.Millis = 1_000
-	// spareTimeout bounds the time for which a request waits for a spare connection.
-	spareTimeout waxfleet.Millis = 20
 	// idleMargin is subtracted from the idle timeout that the server declares, so that no
 	// request is sent while the server closes the connection.
 	idleMargin waxfleet.Millis = 500
@@ -55,8 +53,8 @@
 	// position counts the connections that were opened and the requests that were sent, in
 	// their order.
 	position int64
-	// spare is true if a connection is kept idle beside that of a request.
-	spare bool
+	// spareUntil is the time until which an idle connection is kept for each request.
+	spareUntil waxfleet.Millis
 }
 
 // New returns an empty pool. limit is the maximum number of open connections; a limit
@@ -91,52 +89,57 @@
 	return p.dialCount
 }
 
-// Get returns an idle connection, or opens one.
+// Get returns an idle connection, or opens one. While the pool keeps spare connections, it may
+// open another one beside it.
 //
 // Errors: CodeOverloaded when the limit of open connections is reached,
 // CodePeerUnreachable when the connection can't be opened. In both cases nothing was
 // sent.
 func (p *Pool) Get(ctx context.Context) (*Conn, error) {
-	if p.needsSpare() {
-		p.openSpare(ctx)
+	c := p.takeIdle()
+	if c == nil {
+		var err error
+		if c, err = p.open(ctx); err != nil {
+			return nil, err
+		}
 	}
-	if c := p.takeIdle(); c != nil {
-		return c, nil
+	if p.lacksSpare() {
+		// A request does not need the connection.
+		_ = p.Probe(ctx)
 	}
-	return p.open(ctx)
+	return c, nil
 }
 
-// SetSpare sets whether a connection is kept idle beside that of a request, so that ConfirmEnd
-// has one that was open before.
-func (p *Pool) SetSpare(spare bool) {
+// KeepSpares keeps an idle connection for each request until a time, so that ConfirmEnd has one
+// that was open before. They stay open for as long as requests are under way.
+func (p *Pool) KeepSpares(until waxfleet.Millis) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.spare = spare
+	p.spareUntil = max(p.spareUntil, until)
 }
 
-// needsSpare reports whether a connection is to be kept idle and there is none. It closes the
-// idle ones that have expired or can't be reused.
-func (p *Pool) needsSpare() bool {
+// keepsSpares reports whether an idle connection is kept for each request. The caller holds the
+// lock.
+func (p *Pool) keepsSpares() bool { return p.clock.Now() < p.spareUntil }
+
+// lacksSpare reports whether there are fewer idle connections than connections in use.
+func (p *Pool) lacksSpare() bool {
 	p.mu.Lock()
-	spare := p.spare
-	p.mu.Unlock()
-	if !spare {
+	defer p.mu.Unlock()
+	if !p.keepsSpares() || p.openCount >= p.limit {
 		return false
 	}
-	now := p.clock.Now()
-	p.closeIdle(func(c *Conn) bool { return now >= c.idleUntil || !c.reusable() })
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.idle) == 0 && p.openCount+1 < p.limit
+	now, fresh := p.clock.Now(), 0
+	for _, c := range p.idle {
+		if now < c.idleUntil && c.reusable() {
+			fresh++
+		}
+	}
+	return fresh < p.inUse()
 }
 
-// openSpare opens a connection and waits for it for spareTimeout at most.
-func (p *Pool) openSpare(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, spareTimeout.Duration())
-	defer cancel()
-	// A request does not need the connection.
-	_ = p.Probe(ctx)
-}
+// inUse returns the number of connections in use. The caller holds the lock.
+func (p *Pool) inUse() int { return p.openCount - len(p.idle) }
 
 // Probe opens a new connection and keeps it for the next request.
 //
@@ -204,48 +207,67 @@
 	return p.position
 }
 
-// takeOpenedBefore returns an idle connection that was opened before a position, or nil. One
-// on which the server has answered goes first: it has been accepted by a process.
+// takeOpenedBefore returns the newest idle connection that was opened before a position, or nil.
+// Older ones are left to requests that were sent earlier.
 func (p *Pool) takeOpenedBefore(position int64) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	i := slices.IndexFunc(p.idle, func(c *Conn) bool { return c.openedAt < position && c.useCount > 0 })
-	if i < 0 {
-		i = slices.IndexFunc(p.idle, func(c *Conn) bool { return c.openedAt < position })
+	newest := -1
+	for i, c := range p.idle {
+		if c.openedPosition < position && (newest < 0 || c.openedPosition > p.idle[newest].openedPosition) {
+			newest = i
+		}
 	}
-	if i < 0 {
+	if newest < 0 {
 		return nil
 	}
-	c := p.idle[i]
-	p.idle = slices.Delete(p.idle, i, i+1)
+	c := p.idle[newest]
+	p.idle = slices.Delete(p.idle, newest, newest+1)
 	return c
 }
 
 // takeIdle returns the most recently used idle connection, and closes those that have
-// expired or can't be reused. It returns nil when there is none, or only the spare one. One
-// that was never used goes before, because servers close such connections early.
+// expired or can't be reused. It returns nil when there is none.
 func (p *Pool) takeIdle() *Conn {
 	now := p.clock.Now()
+	p.closeIdle(func(c *Conn) bool { return now >= c.idleUntil })
 	for {
 		p.mu.Lock()
-		i := len(p.idle) - 1
-		if i < 0 || p.spare && i == 0 && p.openCount < p.limit {
+		i := p.nextIdle(now)
+		if i < 0 {
 			p.mu.Unlock()
 			return nil
 		}
-		if unused := slices.IndexFunc(p.idle, func(c *Conn) bool { return c.useCount == 0 }); p.spare && unused >= 0 {
-			i = unused
-		}
 		c := p.idle[i]
 		p.idle = slices.Delete(p.idle, i, i+1)
 		p.mu.Unlock()
-		if now < c.idleUntil && c.reusable() {
+		if c.reusable() {
 			return c
 		}
 		c.Discard()
 	}
 }
 
+// nextIdle returns the position of the idle connection that the next request gets, or -1. While
+// spare connections are kept, those of other requests are left, and one that was never used
+// goes first, because servers close such connections early. The caller holds the lock.
+func (p *Pool) nextIdle(now waxfleet.Millis) int {
+	if p.keepsSpares() && len(p.idle) <= p.inUse() && p.openCount < p.limit {
+		return -1
+	}
+	next := -1
+	for i, c := range p.idle {
+		switch {
+		case now >= c.idleUntil:
+		case c.useCount == 0 && p.keepsSpares():
+			return i
+		default:
+			next = i
+		}
+	}
+	return next
+}
+
 // putIdle returns a connection to the pool. idleTimeout is the idle timeout that the
 // server declares; 0 when it declares none.
 func (p *Pool) putIdle(c *Conn, idleTimeout waxfleet.Millis) {
@@ -282,9 +304,14 @@
 	p.closeIdle(func(c *Conn) bool { return now >= c.idleUntil })
 }
 
-// closeIdle closes the idle connections for which expired returns true.
+// closeIdle closes the idle connections for which expired returns true, but for spare ones of
+// requests that are under way.
 func (p *Pool) closeIdle(expired func(c *Conn) bool) {
 	p.mu.Lock()
+	if p.keepsSpares() && p.inUse() > 0 {
+		p.mu.Unlock()
+		return
+	}
 	var closed []*Conn
 	kept := p.idle[:0]
 	for _, c := range p.idle {
--- a/waxfleet/waxpool/pool_test.go
+++ b/waxfleet/waxpool/pool_test.go
@@ -483,7 +483,7 @@
 		address, _ := serveScript(t, answers, answers, answers)
 		p := New(waxfleet.NewClock(), plainProtocol{}, address, limit)
 		defer p.Close()
-		p.SetSpare(true)
+		p.KeepSpares(p.clock.Now() + 60_000)
 		for range 4 {
 			_, _, err := do(p, request("1"))
 			is.NoErr(err)
