waxforward: stop the timeout for events before a server is asked whether it lives

Callers of resumable routes got whole streams without length and chunks that were broken off, or resumed at another server for nothing, when their server took longer than the timeout for the next event to answer the question at their end. The timer went on and ended the question. Found by a review; older than the question on open connections.

TestSlowProbeAfterLastEvent fails before.

--- a/waxfleet/waxforward/relay.go
+++ b/waxfleet/waxforward/relay.go
@@ -211,6 +211,9 @@
 	for {
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) {
+			if timer != nil {
+				timer.Stop()
+			}
 			return f.endStream(ctx, req, resp)
 		}
 		if err != nil {
