platform: test clients that send more than an instance holds

Change: platform/waxcrowd starts a router process with low limits in its settings and plays one script for each kind of client: bodies that stop short of their end, in large chunks, in chunks of one byte or announced; bodies and heads over the limit or without end; empty lines; more connections than descriptors; answers that nobody reads; the same through the port for other instances; all together. While the connections are open, the process has to live, to stay within memory_mb and max_fds, and to answer the ready address, the metrics and an ordinary request; a request whose refusal states that it never runs must not have run; a stream that was under way must not be cut. The bounds are those of the settings and of the platform, which reserves 200 descriptors for files. No check depends on time. The package is tested apart from others. waxstub lets a test answer the paths of its choice.

--- a/Makefile
+++ b/Makefile
@@ -14,8 +14,8 @@
 
 # Packages that start whole fleets are tested one at a time, with limited parallelism,
 # because a fleet that is starved of CPU time looks like one that has failed.
-FLEET_PACKAGES := ./platform/waxsoak ./waxload/waxbound ./waxload/waxcheck ./waxload/waxcontrol ./waxload/waxembed \
-	./waxload/waxexperiment ./waxload/waxlatency ./waxrouter
+FLEET_PACKAGES := ./platform/waxcrowd ./platform/waxsoak ./waxload/waxbound ./waxload/waxcheck ./waxload/waxcontrol \
+	./waxload/waxembed ./waxload/waxexperiment ./waxload/waxlatency ./waxrouter
 LIGHT_PACKAGES = $(filter-out $(FLEET_PACKAGES:./%=waxwingdrift.org/%),$(shell go list $(PACKAGES)))
 
 .PHONY: known-red build test race fuzz soak lint format format-check generate tools tidy run fleet platform bench clean
