waxintake: bound the memory that callers make an instance hold

Callers saw: a router process ran out of memory. 1,200 bodies in large chunks, each just short of its end, take one with 284 MB of memory in its settings to 1,437 MB while they stay open and to 1,935 MB when they are closed; announced bodies to 1,283 MB; with 96 MB the chunks take 1,436 and 1,675 MB.

Cause: each body is bounded by the configuration, but nothing bounds their sum. A buffer of the announced length was allocated before a byte of it had arrived, and others grew by doubling, whose copies are garbage. Ruled out: headers and single bodies over the limit, which net/http and the limit bound.

Change: waxintake counts what connections hold against a quarter of the memory: a fixed part for a connection and a request, headers with what net/http makes of them, and the bytes of bodies as they arrive. It wraps the listeners for callers and for requests of other instances, since both end in the same memory. When the account is full, connections that hold no whole request are evicted, those first that hold most and have not moved for longest; their requests get 503 with Retry-After and the new code router-full, and have not run. A request that was read is not touched. A body too large is refused once the limit is passed, and the connection is closed instead of read on; what the caller still sends is discarded for 500 ms so that it gets the response. Bodies are read in parts of up to 64 KiB that are reused.

A quarter, because the collector lets garbage grow to the size of what is in use: 71 MB twice and 28 MB of the idle process are 170 MB, the soft limit of the Go runtime at 284 MB. A third would exceed it.

--- a/waxfleet/code.go
+++ b/waxfleet/code.go
@@ -47,6 +47,7 @@
 	CodeStopping          Code = 2013
 	CodePromptBanned      Code = 2014
 	CodeOriginUnknown     Code = 2015
+	CodeRouterFull        Code = 2016
 
 	CodeOutcomeUnknown   Code = 3001
 	CodeStreamIncomplete Code = 3002
@@ -105,6 +106,7 @@
 	CodeUnknownPath:          {"unknown-path", http.StatusNotFound, true},
 	CodeUnknownRoute:         {"unknown-route", http.StatusNotFound, true},
 	CodeBadRequest:           {"bad-request", http.StatusBadRequest, true},
+	CodeRouterFull:           {"router-full", http.StatusServiceUnavailable, true},
 	CodeConfigStale:          {"config-stale", http.StatusServiceUnavailable, true},
 	CodeStopping:             {"stopping", http.StatusServiceUnavailable, true},
 	CodeTimeout:              {"timeout", http.StatusGatewayTimeout, false},
--- a/waxfleet/waxconn/conn.go
+++ b/waxfleet/waxconn/conn.go
@@ -14,15 +14,25 @@
 	return context.WithValue(ctx, key{}, conn)
 }
 
+// NetConn returns the connection of the request with the context, or nil if its server lacks
+// the ConnContext.
+func NetConn(ctx context.Context) net.Conn {
+	conn, _ := ctx.Value(key{}).(net.Conn)
+	return conn
+}
+
+// lingerer is a TCP connection, or one that wraps it.
+type lingerer interface{ SetLinger(seconds int) error }
+
 // Conn is the connection of a request.
 type Conn struct {
 	// tcp is nil if it is no TCP connection, or if the server lacks the ConnContext.
-	tcp *net.TCPConn
+	tcp lingerer
 }
 
 // Of returns the connection of the request with the context.
 func Of(ctx context.Context) Conn {
-	tcp, _ := ctx.Value(key{}).(*net.TCPConn)
+	tcp, _ := NetConn(ctx).(lingerer)
 	return Conn{tcp: tcp}
 }
 
--- a/waxfleet/waxforward/forwarder.go
+++ b/waxfleet/waxforward/forwarder.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"net/http"
 	"strings"
@@ -22,6 +21,7 @@
 	"waxwingdrift.org/waxfleet/waxcrash"
 	"waxwingdrift.org/waxfleet/waxdirectory"
 	"waxwingdrift.org/waxfleet/waxfresh"
+	"waxwingdrift.org/waxfleet/waxintake"
 	"waxwingdrift.org/waxfleet/waxlimit"
 	"waxwingdrift.org/waxfleet/waxorigin"
 	"waxwingdrift.org/waxfleet/waxpeer"
@@ -186,6 +186,10 @@
 	// doesn't have cached.
 	prefillTokens int
 	response      *responseWriter
+	// intake is the connection of the caller, and bodyLength the announced length of the
+	// body, or -1.
+	intake     *waxintake.Conn
+	bodyLength int64
 }
 
 // ServeHTTP handles one request of a caller.
@@ -204,6 +208,8 @@
 		triedServers: map[string]bool{},
 		runsAtCheck:  -1,
 		fromPeer:     fromPeer,
+		intake:       waxintake.Of(r.Context()),
+		bodyLength:   r.ContentLength,
 		response:     newResponseWriter(w, r, f.opts.Protocol, f.opts.Clock),
 	}
 	req.response.fromPeer = fromPeer
@@ -213,7 +219,11 @@
 	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := f.opts.Tracer.Start(ctx, "entry", trace.WithSpanKind(trace.SpanKindServer), trace.WithAttributes(attribute.String("request", req.inbound.ID)))
 	defer span.End()
-	err := f.admit(req, r)
+	defer req.intake.End()
+	err := req.intake.Begin(r.ContentLength != 0)
+	if err == nil {
+		err = f.admit(req, r)
+	}
 	if err == nil {
 		ctx, cancel := context.WithTimeout(ctx, (req.deadline - f.opts.Clock.Now()).Duration())
 		err = f.forward(ctx, req)
@@ -308,42 +318,11 @@
 	return waxfleet.NewError(waxfleet.CodeConfigStale, "configuration was last confirmed %d ms ago", age)
 }
 
-// readBody reads the complete body, so that the request can be retried and a disconnect
-// of the caller is detected while it runs.
-func (f *Forwarder) readBody(req *requestState, r *http.Request) error {
-	limit := req.table.Limits().MaxBodyBytes
-	if limit <= 0 {
-		limit = 4 << 20
-	}
-	if r.ContentLength > limit {
-		return waxfleet.NewError(waxfleet.CodeBodyTooLarge, "request body has %d bytes; the limit is %d", r.ContentLength, limit)
-	}
-	req.hasBody = r.ContentLength != 0
-	if !req.hasBody {
-		return nil
-	}
-	if r.ContentLength > 0 {
-		req.body = make([]byte, r.ContentLength)
-		if _, err := io.ReadFull(r.Body, req.body); err != nil {
-			return waxfleet.WrapError(err, waxfleet.CodeCancelled, "request body ended early")
-		}
-		return nil
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return waxfleet.WrapError(err, waxfleet.CodeCancelled, "request body ended early")
-	}
-	if int64(len(body)) > limit {
-		return waxfleet.NewError(waxfleet.CodeBodyTooLarge, "request body exceeds %d bytes", limit)
-	}
-	req.body = body
-	return nil
-}
-
 // finish logs the end of a request, and sends the error response if it failed.
 func (f *Forwarder) finish(ctx context.Context, req *requestState, err error) {
 	code := waxfleet.CodeOf(err)
-	disconnected := ctx.Err() != nil
+	// net/http cancels the context also if the rest of a body is not awaited.
+	disconnected := ctx.Err() != nil && !refusedByIntake(code)
 	if disconnected && err != nil {
 		code = waxfleet.CodeCancelled
 	}
@@ -386,6 +365,7 @@
 	var status int
 	abort := req.response.headerSent()
 	if !abort {
+		req.closeAfterRefusal()
 		status = req.response.writeError(req.inbound.ID, err, retryAfterDelay(req, code))
 	}
 	f.opts.Log.Warn("request failed", append(attrs, "answered", status, "cut", abort)...)
--- a/waxfleet/waxforward/retry.go
+++ b/waxfleet/waxforward/retry.go
@@ -10,6 +10,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxintake"
 	"waxwingdrift.org/waxfleet/waxpick"
 )
 
@@ -228,6 +229,8 @@
 	case waxfleet.CodeConfigStale, waxfleet.CodeConfigUnavailable, waxfleet.CodeStopping, waxfleet.CodeOriginUnknown:
 		// Another instance may be able to serve the request at once.
 		return retryAfterStaleDelay
+	case waxfleet.CodeRouterFull:
+		return waxintake.RetryAfter()
 	}
 	return retryAfterOverloadDelay
 }
--- a/waxfleet/waxfront/instance.go
+++ b/waxfleet/waxfront/instance.go
@@ -25,6 +25,7 @@
 	"waxwingdrift.org/waxfleet/waxforward"
 	"waxwingdrift.org/waxfleet/waxfresh"
 	"waxwingdrift.org/waxfleet/waxgossip"
+	"waxwingdrift.org/waxfleet/waxintake"
 	"waxwingdrift.org/waxfleet/waxlimit"
 	"waxwingdrift.org/waxfleet/waxmetric"
 	"waxwingdrift.org/waxfleet/waxorigin"
@@ -108,6 +109,7 @@
 	callerServer *http.Server
 	peerServer   *http.Server
 	idle         *idleConns
+	intake       *waxintake.Intake
 
 	mu        sync.Mutex
 	instances []string
@@ -267,9 +269,17 @@
 func (inst *Instance) listen(ctx context.Context) error {
 	settings := inst.opts.Settings
 	inst.idle = newIdleConns()
+	inst.intake = waxintake.New(waxintake.Options{
+		MemoryBytes: int64(settings.MemoryMB) << 20,
+		Clock:       inst.opts.Clock,
+		Log:         inst.log,
+	})
 	inst.callerServer = &http.Server{
-		Handler:           inst.forwarder,
-		ConnState:         inst.idle.track,
+		Handler: inst.forwarder,
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			waxintake.Track(conn, state)
+			inst.idle.track(conn, state)
+		},
 		ConnContext:       waxconn.Context,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
@@ -282,6 +292,7 @@
 	peers.GET("/metrics", echo.WrapHandler(inst.metrics.handler))
 	inst.peerServer = &http.Server{
 		Handler:           inst.forwarder.PeerHandler(),
+		ConnState:         waxintake.Track,
 		ConnContext:       waxconn.Context,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
@@ -313,7 +324,9 @@
 		if err != nil {
 			return waxfleet.WrapError(err, waxfleet.CodeSettingInvalid, "failed to open address %q", l.address)
 		}
-		if l.server != inst.callerServer && l.server != inst.peerServer {
+		if l.server == inst.callerServer || l.server == inst.peerServer {
+			listener = inst.intake.Listener(listener)
+		} else {
 			context.AfterFunc(ctx, func() { _ = l.server.Close() })
 		}
 		go func() {
@@ -440,6 +453,7 @@
 		inst.servers.Prune(inst.directory, inst.cacheIndex, inst.limits)
 		inst.checkRegistered()
 		inst.metrics.updateGauges(inst.forwarder.Active(), inst.directory.Count(), inst.opts.DroppedLogLines())
+		inst.metrics.SetIntake(inst.intake.Usages())
 	}
 }
 
--- /dev/null
+++ b/waxfleet/waxintake/accounts_test.go
@@ -0,0 +1,144 @@
+package waxintake
+
+import (
+	"bytes"
+	"fmt"
+	"log/slog"
+	"math"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+
+	"waxwingdrift.org/waxfleet"
+)
+
+// accountScript plays connections without a network, on a manual clock.
+type accountScript struct {
+	t     *testing.T
+	clock *waxfleet.Clock
+	in    *Intake
+	log   bytes.Buffer
+	names []string
+	conns map[string]*Conn
+}
+
+// TestAccounts guards against callers that make the process hold more than its budget,
+// against evicting a connection whose request was read, and against evicting those that hold
+// little or move while others hold much and don't.
+func TestAccounts(t *testing.T) {
+	datadriven.Walk(t, "testdata/accounts", func(t *testing.T, path string) {
+		s := &accountScript{t: t}
+		datadriven.RunTest(t, path, s.run)
+	})
+}
+
+func (s *accountScript) run(t *testing.T, d *datadriven.TestData) string {
+	var name string
+	if len(d.CmdArgs) > 0 {
+		name = d.CmdArgs[0].Key
+	}
+	c := s.conns[name]
+	n := 0
+	d.MaybeScanArgs(t, "bytes", &n)
+	switch d.Cmd {
+	case "intake":
+		s.start(d)
+		return ""
+	case "wait":
+		d.ScanArgs(t, "ms", &n)
+		s.clock.Advance(waxfleet.Millis(n))
+		return ""
+	case "open":
+		return s.open(name)
+	case "receive":
+		return s.result(c.received(bytes.Repeat([]byte("x"), n)))
+	case "lines":
+		return s.result(c.received(bytes.Repeat([]byte("a:\r\n"), n/4)))
+	case "begin":
+		return s.result(c.Begin(d.HasArg("body")))
+	case "body":
+		return s.result(c.charge(int64(n)))
+	case "whole":
+		return s.result(c.Whole())
+	case "refuse":
+		return fmt.Sprintf("keep=%t", c.KeepAfterRefusal(int64(n)))
+	case "end":
+		c.End()
+		c.idle()
+		return s.state()
+	case "close":
+		_ = c.Close()
+		delete(s.conns, name)
+		return s.state()
+	case "log":
+		defer s.log.Reset()
+		return s.log.String()
+	}
+	t.Fatalf("unknown command %s", d.Cmd)
+	return ""
+}
+
+func (s *accountScript) start(d *datadriven.TestData) {
+	var memory int
+	d.MaybeScanArgs(s.t, "memory", &memory)
+	s.clock, s.conns, s.names = waxfleet.NewManualClock(0), map[string]*Conn{}, nil
+	s.in = New(Options{
+		MemoryBytes: int64(memory), Clock: s.clock,
+		Log: slog.New(slog.NewTextHandler(&s.log, &slog.HandlerOptions{ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
+			if a.Key == slog.TimeKey || a.Key == slog.LevelKey {
+				return slog.Attr{}
+			}
+			return a
+		}})),
+	})
+}
+
+func (s *accountScript) open(name string) string {
+	// The connection is not open, so that deadlines have no effect.
+	c := s.in.open(&net.TCPConn{})
+	if c == nil {
+		return "refused\n" + s.state()
+	}
+	s.conns[name] = c
+	s.names = append(s.names, name)
+	return s.state()
+}
+
+// result returns the error, if any, and the state.
+func (s *accountScript) result(err error) string {
+	if err != nil {
+		return fmt.Sprintf("%s\n%s", waxfleet.CodeOf(err).Name(), s.state())
+	}
+	return s.state()
+}
+
+// state returns the accounts and the connections.
+func (s *accountScript) state() string {
+	var b strings.Builder
+	for _, u := range s.in.Usages() {
+		fmt.Fprintf(&b, "%s %d of %d\n", u.Account, u.Used, u.Budget)
+	}
+	for _, name := range s.names {
+		c, ok := s.conns[name]
+		if !ok {
+			continue
+		}
+		state := c.candidate()
+		fmt.Fprintf(&b, "%s %s %d", name, c.phase, state.held)
+		if c.evicted {
+			b.WriteString(" evicted")
+		}
+		b.WriteString("\n")
+	}
+	return b.String()
+}
+
+// TestMemoryBudget guards against a budget that leaves nothing for the process itself.
+func TestMemoryBudget(t *testing.T) {
+	is := is.New(t)
+	is.Equal(memoryBudget(284<<20), int64(71<<20))
+	is.Equal(memoryBudget(0), int64(math.MaxInt64))
+}
--- /dev/null
+++ b/waxfleet/waxintake/server_test.go
@@ -0,0 +1,230 @@
+package waxintake
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxconn"
+)
+
+const (
+	testBodyLimit = 150_000
+	testTimeout   = 10 * time.Second
+)
+
+// testServer serves requests on loopback like a router instance. It echoes the length of the
+// body.
+type testServer struct {
+	t       *testing.T
+	in      *Intake
+	clock   *waxfleet.Clock
+	address string
+	served  atomic.Int64
+}
+
+func newTestServer(t *testing.T, memory int64) *testServer {
+	t.Helper()
+	s := &testServer{t: t, clock: waxfleet.NewClock()}
+	s.in = New(Options{
+		MemoryBytes: memory, Clock: s.clock, Log: slog.New(slog.DiscardHandler),
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: s, ConnContext: waxconn.Context, ConnState: Track, ReadHeaderTimeout: testTimeout, IdleTimeout: testTimeout}
+	go func() { _ = server.Serve(s.in.Listener(l)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	s.address = l.Addr().String()
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *testServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := Of(r.Context())
+	defer c.End()
+	err := c.Begin(r.ContentLength != 0)
+	var body []byte
+	switch {
+	case err != nil:
+	case r.URL.Path == "/unauthorized":
+		err = waxfleet.NewError(waxfleet.CodeUnauthorized, "no key")
+	case r.ContentLength != 0:
+		body, err = c.ReadBody(r.Body, r.ContentLength, testBodyLimit)
+	}
+	if err != nil {
+		if !c.KeepAfterRefusal(r.ContentLength) {
+			w.Header().Set("Connection", "close")
+		}
+		http.Error(w, waxfleet.CodeOf(err).Name(), waxfleet.CodeOf(err).Status())
+		return
+	}
+	s.served.Add(1)
+	_, _ = fmt.Fprintf(w, "%d bytes", len(body))
+}
+
+// caller is a connection to the server.
+type caller struct {
+	t *testing.T
+	net.Conn
+	r *bufio.Reader
+}
+
+func (s *testServer) dial() *caller {
+	s.t.Helper()
+	conn, err := net.DialTimeout("tcp", s.address, testTimeout)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(testTimeout))
+	return &caller{t: s.t, Conn: conn, r: bufio.NewReader(conn)}
+}
+
+// send sends text. The server may have closed the connection.
+func (c *caller) send(format string, args ...any) { _, _ = fmt.Fprintf(c, format, args...) }
+
+// sendBody sends the header of a request and the first n of size bytes of its body.
+func (c *caller) sendBody(path string, size, n int) {
+	c.send("POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", path, size, strings.Repeat("x", n))
+}
+
+// reply is a response without its body.
+type reply struct {
+	status     int
+	close      bool
+	retryAfter string
+}
+
+// response reads a response, and returns it and its body.
+func (c *caller) response() (reply, string) {
+	c.t.Helper()
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return reply{status: resp.StatusCode, close: resp.Close, retryAfter: resp.Header.Get("Retry-After")}, strings.TrimSpace(string(body))
+}
+
+// awaitUsed waits until the used memory is from least to most.
+func (s *testServer) awaitUsed(least, most int64) {
+	s.t.Helper()
+	for deadline := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) {
+		u := s.in.Usages()[0]
+		if u.Used >= least && u.Used <= most {
+			return
+		}
+		if time.Now().After(deadline) {
+			s.t.Fatalf("%+v; want %d to %d", u, least, most)
+		}
+	}
+}
+
+// TestStalledBodyGivesWay guards against bodies that stop short of their end and use up the
+// memory of the process.
+func TestStalledBodyGivesWay(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t, 4*500_000)
+	stalled := s.dial()
+	stalled.sendBody("/", 140_000, 139_999)
+	s.awaitUsed(connBytes+requestBytes+140_000, 200_000)
+	ordinary := s.dial()
+	ordinary.sendBody("/", 140_000, 140_000)
+	resp, body := ordinary.response()
+	is.Equal(resp.status, http.StatusOK)
+	is.Equal(body, "140000 bytes")
+	resp, body = stalled.response()
+	is.Equal(resp.status, http.StatusServiceUnavailable)
+	is.Equal(body, "router-full")
+	is.True(resp.close)
+	is.Equal(s.served.Load(), int64(1)) // the refused request was not run
+	_ = stalled.Close()
+	_ = ordinary.Close()
+	s.awaitUsed(0, 0)
+}
+
+// TestBodyOverLimit guards against chunked bodies that go on beyond the limit.
+func TestBodyOverLimit(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t, 0)
+	c := s.dial()
+	c.send("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n")
+	sent := make(chan int)
+	go func() {
+		n := 0
+		for _, err := io.WriteString(c, "1000\r\n"+strings.Repeat("x", 4096)+"\r\n"); err == nil; n += 4096 {
+			_, err = io.WriteString(c, "1000\r\n"+strings.Repeat("x", 4096)+"\r\n")
+		}
+		sent <- n
+	}()
+	resp, body := c.response()
+	is.Equal(resp.status, http.StatusRequestEntityTooLarge)
+	is.Equal(body, "body-too-large")
+	is.True(resp.close)
+	<-sent // the server closes the connection
+	s.awaitUsed(0, 0)
+}
+
+// TestEmptyLinesWithoutEnd guards against connections that never begin a request.
+func TestEmptyLinesWithoutEnd(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t, 0)
+	c := s.dial()
+	var err error
+	for err == nil {
+		_, err = io.WriteString(c, strings.Repeat("\r\n", 1_000))
+	}
+	is.True(!strings.Contains(err.Error(), "timeout")) // the server closed the connection
+}
+
+// TestKeptConnections guards against breaking what callers may do on one connection.
+func TestKeptConnections(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t, 0)
+	c := s.dial()
+	c.sendBody("/unauthorized", 5, 5)
+	resp, _ := c.response()
+	is.Equal(resp.status, http.StatusUnauthorized)
+	is.True(!resp.close)
+	c.sendBody("/", testBodyLimit, testBodyLimit)
+	resp, body := c.response()
+	is.Equal(resp.status, http.StatusOK)
+	is.Equal(body, "150000 bytes")
+	c.sendBody("/", testBodyLimit+1, 0)
+	resp, _ = c.response()
+	is.Equal(resp.status, http.StatusRequestEntityTooLarge)
+	is.True(resp.close)
+
+	c = s.dial()
+	c.send("POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n")
+	resp, _ = c.response()
+	is.Equal(resp.status, http.StatusContinue)
+	c.send("abc")
+	_, body = c.response()
+	is.Equal(body, "3 bytes")
+	// Several requests at once, one in chunks.
+	c.send("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n2\r\ncd\r\n0\r\n\r\n" +
+		"GET / HTTP/1.1\r\nHost: a\r\n\r\nPOST / HTTP/1.0\r\nContent-Length: 6\r\n\r\nabcdef")
+	for _, want := range []string{"4 bytes", "0 bytes", "6 bytes"} {
+		resp, body = c.response()
+		is.Equal(resp.status, http.StatusOK)
+		is.Equal(body, want)
+	}
+	s.awaitUsed(0, 0)
+}
--- a/waxfleet/waxmetric/metric.go
+++ b/waxfleet/waxmetric/metric.go
@@ -19,6 +19,7 @@
 	"go.opentelemetry.io/otel/attribute"
 
 	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxintake"
 )
 
 const (
@@ -74,6 +75,17 @@
 // SetGauge sets the gauge with the name.
 func (m *Metrics) SetGauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
 
+// SetIntake sets the gauges of the accounts of what callers hold.
+func (m *Metrics) SetIntake(usages []waxintake.Usage) {
+	for _, u := range usages {
+		scope := m.scope.Tagged(map[string]string{"account": u.Account})
+		scope.Gauge("intake_used").Update(float64(u.Used))
+		scope.Gauge("intake_budget").Update(float64(u.Budget))
+		scope.Gauge("intake_evictions").Update(float64(u.Evictions))
+		scope.Gauge("intake_refusals").Update(float64(u.Refusals))
+	}
+}
+
 // NewTracer returns a tracer provider that writes its spans to w as JSON until ctx ends,
 // or one that records no spans when w is nil.
 func NewTracer(ctx context.Context, instance string, w io.Writer) (trace.TracerProvider, error) {
