waxintake: keep descriptors for the instance itself

Callers saw: 4,600 connections that send nothing after the header of a request, to an instance with 4,100 descriptors: an ordinary request gets no answer in 5 s, from the first second to the sixth. Connections that send nothing at all do the same until the header times out.

Cause: callers may open connections until no descriptor is left, neither for other callers nor for backend servers, the store, other instances and readiness probes. Ruled out: memory, which stayed at 103 MB.

Change: a second account counts the connections of callers and of instances that send requests on. Of the descriptors, 200 are for files, as the platform says, up to 100 for the instance itself, and half of the rest for callers, since a request needs a second one to a backend server: 1,900 of 4,100. While the account is full, a new connection displaces the one that has waited longest for a whole request, idle ones included. If each is being answered, the new one gets 503 with Retry-After once its first byte has come. New connections stay in the backlog while evicted ones are still being closed.

--- a/waxfleet/waxfront/instance.go
+++ b/waxfleet/waxfront/instance.go
@@ -270,9 +270,10 @@
 	settings := inst.opts.Settings
 	inst.idle = newIdleConns()
 	inst.intake = waxintake.New(waxintake.Options{
-		MemoryBytes: int64(settings.MemoryMB) << 20,
-		Clock:       inst.opts.Clock,
-		Log:         inst.log,
+		MemoryBytes:  int64(settings.MemoryMB) << 20,
+		MaxOpenFiles: settings.MaxOpenFiles,
+		Clock:        inst.opts.Clock,
+		Log:          inst.log,
 	})
 	inst.callerServer = &http.Server{
 		Handler: inst.forwarder,
--- a/waxfleet/waxintake/accounts_test.go
+++ b/waxfleet/waxintake/accounts_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"log/slog"
-	"math"
 	"net"
 	"strings"
 	"testing"
@@ -25,7 +24,7 @@
 	conns map[string]*Conn
 }
 
-// TestAccounts guards against callers that make the process hold more than its budget,
+// TestAccounts guards against callers that make the process hold more than its budgets,
 // against evicting a connection whose request was read, and against evicting those that hold
 // little or move while others hold much and don't.
 func TestAccounts(t *testing.T) {
@@ -82,11 +81,12 @@
 }
 
 func (s *accountScript) start(d *datadriven.TestData) {
-	var memory int
+	var memory, files int
 	d.MaybeScanArgs(s.t, "memory", &memory)
+	d.MaybeScanArgs(s.t, "files", &files)
 	s.clock, s.conns, s.names = waxfleet.NewManualClock(0), map[string]*Conn{}, nil
 	s.in = New(Options{
-		MemoryBytes: int64(memory), Clock: s.clock,
+		MemoryBytes: int64(memory), MaxOpenFiles: files, Clock: s.clock,
 		Log: slog.New(slog.NewTextHandler(&s.log, &slog.HandlerOptions{ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
 			if a.Key == slog.TimeKey || a.Key == slog.LevelKey {
 				return slog.Attr{}
@@ -136,9 +136,21 @@
 	return b.String()
 }
 
-// TestMemoryBudget guards against a budget that leaves nothing for the process itself.
-func TestMemoryBudget(t *testing.T) {
-	is := is.New(t)
-	is.Equal(memoryBudget(284<<20), int64(71<<20))
-	is.Equal(memoryBudget(0), int64(math.MaxInt64))
+// TestBudgets guards against budgets that leave nothing for the process itself.
+func TestBudgets(t *testing.T) {
+	for name, c := range map[string]struct {
+		memoryMB              int64
+		maxOpenFiles          int
+		memoryMax, connection int64
+	}{
+		"platform":         {memoryMB: 284, maxOpenFiles: 4_100, memoryMax: 71 << 20, connection: 1_900},
+		"small":            {memoryMB: 96, maxOpenFiles: 500, memoryMax: 24 << 20, connection: 112},
+		"less than needed": {memoryMB: 1, maxOpenFiles: 100, memoryMax: 1 << 18, connection: minConnections},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(memoryBudget(c.memoryMB<<20), c.memoryMax)
+			is.Equal(connectionBudget(c.maxOpenFiles), c.connection)
+		})
+	}
 }
--- a/waxfleet/waxintake/choose.go
+++ b/waxfleet/waxintake/choose.go
@@ -48,18 +48,25 @@
 // heaviest returns the index of the candidate that holds most and moves least; -1 if no
 // candidate may be evicted. Of equal ones, it is the oldest connection.
 func heaviest(candidates []candidate, now waxfleet.Millis) int {
+	return choose(candidates, func(a, b candidate) bool { return a.weight(now) > b.weight(now) })
+}
+
+// longestWaiting returns the index of the candidate that has waited longest for a whole
+// request; -1 if no candidate may be evicted. Of equal ones, it is the oldest connection.
+func longestWaiting(candidates []candidate) int {
+	return choose(candidates, func(a, b candidate) bool { return a.waitingSince < b.waitingSince })
+}
+
+// choose returns the index of the evictable candidate that goes before all others.
+func choose(candidates []candidate, before func(a, b candidate) bool) int {
 	best := -1
 	for i, c := range candidates {
 		if !c.phase.evictable() {
 			continue
 		}
-		if best >= 0 {
-			d := c.weight(now) - candidates[best].weight(now)
-			if d < 0 || d == 0 && c.id > candidates[best].id {
-				continue
-			}
+		if best < 0 || before(c, candidates[best]) || !before(candidates[best], c) && c.id < candidates[best].id {
+			best = i
 		}
-		best = i
 	}
 	return best
 }
--- a/waxfleet/waxintake/conn.go
+++ b/waxfleet/waxintake/conn.go
@@ -218,6 +218,7 @@
 	}
 	c.evicted = true
 	c.intake.memory.leaving.Add(connBytes + c.held)
+	c.intake.connections.leaving.Add(1)
 	// An error means that the connection is closed.
 	_ = c.TCPConn.SetReadDeadline(longAgo)
 	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
--- a/waxfleet/waxintake/intake.go
+++ b/waxfleet/waxintake/intake.go
@@ -1,6 +1,6 @@
-// Package waxintake bounds the memory that callers can make a router instance hold. It follows
-// each connection from its first byte to the end of its last response. When the account is
-// full, it closes connections that hold no whole request.
+// Package waxintake bounds the memory and the file descriptors that callers can make a
+// router instance hold. It follows each connection from its first byte to the end of its
+// last response. When an account is full, it closes connections that hold no whole request.
 package waxintake
 
 import (
@@ -9,6 +9,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"waxwingdrift.org/waxfleet"
 )
@@ -17,6 +18,16 @@
 	// memoryShare is the part of the process's memory for what callers make it hold. Garbage
 	// counts until it is collected, and the idle process needs its part.
 	memoryShare = 0.25
+	// fileDescriptors is the number of descriptors that the platform reserves for files.
+	fileDescriptors = 200
+	// ownDescriptors is the number of descriptors for the store, readiness probes, metrics
+	// and other instances.
+	ownDescriptors = 100
+	// descriptorsPerRequest: a caller's request needs its own connection and one to a
+	// backend server or another instance.
+	descriptorsPerRequest = 2
+	// minConnections is the smallest budget of connections.
+	minConnections = 8
 	// connBytes is charged for an open connection: the goroutine that serves it and its
 	// buffers. requestBytes is charged for a request until it ends, beside its header and
 	// body.
@@ -25,24 +36,31 @@
 	// maxLingering is the maximum number of refused connections that stay open so that
 	// their callers can read the refusal.
 	maxLingering = 64
-	// logInterval is the minimum interval between two log lines about the full account.
+	// closeTimeout bounds the wait until evicted connections are closed.
+	closeTimeout = time.Second
+	// logInterval is the minimum interval between two log lines about a full account.
 	logInterval waxfleet.Millis = 1_000
 )
 
 // Options configures an Intake.
 type Options struct {
-	// MemoryBytes is the memory limit of the process; 0 means unlimited.
-	MemoryBytes int64
-	Clock       *waxfleet.Clock
-	Log         *slog.Logger
+	// MemoryBytes is the memory limit of the process, and MaxOpenFiles the maximum number of
+	// its descriptors. 0 means unlimited.
+	MemoryBytes  int64
+	MaxOpenFiles int
+	Clock        *waxfleet.Clock
+	Log          *slog.Logger
 }
 
-// Intake keeps the account of memory for all connections of callers, and of other instances
-// that send requests on.
+// Intake keeps the accounts of memory and descriptors for all connections of callers, and of
+// other instances that send requests on.
 type Intake struct {
-	opts      Options
-	memory    account
-	lingering chan struct{}
+	opts        Options
+	memory      account
+	connections account
+	lingering   chan struct{}
+	// closed signals that a connection was closed.
+	closed chan struct{}
 
 	mu     sync.Mutex
 	lastID uint64
@@ -55,10 +73,11 @@
 func New(opts Options) *Intake {
 	in := &Intake{
 		opts: opts, conns: map[*Conn]struct{}{},
-		lingering: make(chan struct{}, maxLingering),
+		lingering: make(chan struct{}, maxLingering), closed: make(chan struct{}, 1),
 	}
 	in.memory.name, in.memory.budget = "memory", memoryBudget(opts.MemoryBytes)
-	in.memory.loggedAt = -logInterval
+	in.connections.name, in.connections.budget = "connections", connectionBudget(opts.MaxOpenFiles)
+	in.memory.loggedAt, in.connections.loggedAt = -logInterval, -logInterval
 	return in
 }
 
@@ -70,6 +89,16 @@
 	return int64(float64(memory) * memoryShare)
 }
 
+// connectionBudget returns the number of connections that callers may hold open.
+func connectionBudget(maxOpenFiles int) int64 {
+	if maxOpenFiles <= 0 {
+		return math.MaxInt64
+	}
+	sockets := max(maxOpenFiles-fileDescriptors, 0)
+	own := min(ownDescriptors, sockets/4)
+	return int64(max((sockets-own)/descriptorsPerRequest, minConnections))
+}
+
 // account counts what connections hold against a budget.
 type account struct {
 	name   string
@@ -103,8 +132,8 @@
 
 // Usages returns the state of all accounts. The budget of an unlimited account is 0.
 func (in *Intake) Usages() []Usage {
-	out := make([]Usage, 0, 1)
-	for _, a := range []*account{&in.memory} {
+	out := make([]Usage, 0, 2)
+	for _, a := range []*account{&in.memory, &in.connections} {
 		u := Usage{Account: a.name, Used: a.used.Load(), Evictions: a.evictions.Load(), Refusals: a.refusals.Load()}
 		if a.budget != math.MaxInt64 {
 			u.Budget = a.budget
@@ -117,13 +146,15 @@
 // open admits a new connection. It returns nil if the connection is refused, because nothing
 // can be evicted.
 func (in *Intake) open(tcp *net.TCPConn) *Conn {
+	in.awaitDescriptor()
 	now := in.opts.Clock.Now()
 	c := &Conn{TCPConn: tcp, intake: in, waitingSince: now, movedAt: now}
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	if !in.makeRoom(&in.memory, connBytes, nil) {
+	if !in.makeRoom(&in.connections, 1, nil) || !in.makeRoom(&in.memory, connBytes, nil) {
 		return nil
 	}
+	in.connections.used.Add(1)
 	in.memory.used.Add(connBytes)
 	in.lastID++
 	c.id = in.lastID
@@ -131,6 +162,24 @@
 	return c
 }
 
+// awaitDescriptor waits while too many evicted connections are still open. New ones stay in
+// the backlog of the listener.
+func (in *Intake) awaitDescriptor() {
+	most := in.connections.budget + in.connections.budget/8
+	if in.connections.budget == math.MaxInt64 || in.connections.used.Load() <= most {
+		return
+	}
+	timeout := time.NewTimer(closeTimeout)
+	defer timeout.Stop()
+	for in.connections.used.Load() > most {
+		select {
+		case <-in.closed:
+		case <-timeout.C:
+			return
+		}
+	}
+}
+
 // drop removes a closed connection from the accounts.
 func (in *Intake) drop(c *Conn) {
 	in.mu.Lock()
@@ -145,8 +194,14 @@
 	c.held, c.dropped = 0, true
 	c.mu.Unlock()
 	in.memory.used.Add(-held)
+	in.connections.used.Add(-1)
 	if evicted {
 		in.memory.leaving.Add(-held)
+		in.connections.leaving.Add(-1)
+	}
+	select {
+	case in.closed <- struct{}{}:
+	default:
 	}
 }
 
@@ -191,7 +246,12 @@
 		}
 	}
 	for !a.fits(n) {
-		i := heaviest(in.candidates, now)
+		var i int
+		if a == &in.memory {
+			i = heaviest(in.candidates, now)
+		} else {
+			i = longestWaiting(in.candidates)
+		}
 		if i < 0 || in.candidates[i].conn == asker {
 			a.refusals.Add(1)
 			in.logFull(a, now, nil)
--- a/waxfleet/waxintake/listener.go
+++ b/waxfleet/waxintake/listener.go
@@ -51,7 +51,7 @@
 		if n, err := tcp.Read(first[:]); n == 0 || err != nil {
 			return
 		}
-		writeRefusal(tcp, waxfleet.NewError(waxfleet.CodeRouterFull, "no memory for more connections"))
+		writeRefusal(tcp, waxfleet.NewError(waxfleet.CodeRouterFull, "each connection is in use"))
 		linger(tcp)
 	}()
 }
--- a/waxfleet/waxintake/server_test.go
+++ b/waxfleet/waxintake/server_test.go
@@ -31,13 +31,15 @@
 	clock   *waxfleet.Clock
 	address string
 	served  atomic.Int64
+	// hold keeps requests with the path /hold waiting.
+	hold chan struct{}
 }
 
-func newTestServer(t *testing.T, memory int64) *testServer {
+func newTestServer(t *testing.T, memory int64, maxOpenFiles int) *testServer {
 	t.Helper()
-	s := &testServer{t: t, clock: waxfleet.NewClock()}
+	s := &testServer{t: t, clock: waxfleet.NewClock(), hold: make(chan struct{})}
 	s.in = New(Options{
-		MemoryBytes: memory, Clock: s.clock, Log: slog.New(slog.DiscardHandler),
+		MemoryBytes: memory, MaxOpenFiles: maxOpenFiles, Clock: s.clock, Log: slog.New(slog.DiscardHandler),
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -71,6 +73,9 @@
 		return
 	}
 	s.served.Add(1)
+	if r.URL.Path == "/hold" {
+		<-s.hold
+	}
 	_, _ = fmt.Fprintf(w, "%d bytes", len(body))
 }
 
@@ -122,11 +127,11 @@
 	return reply{status: resp.StatusCode, close: resp.Close, retryAfter: resp.Header.Get("Retry-After")}, strings.TrimSpace(string(body))
 }
 
-// awaitUsed waits until the used memory is from least to most.
-func (s *testServer) awaitUsed(least, most int64) {
+// awaitUsed waits until the use of the account is from least to most.
+func (s *testServer) awaitUsed(account int, least, most int64) {
 	s.t.Helper()
 	for deadline := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) {
-		u := s.in.Usages()[0]
+		u := s.in.Usages()[account]
 		if u.Used >= least && u.Used <= most {
 			return
 		}
@@ -140,10 +145,10 @@
 // memory of the process.
 func TestStalledBodyGivesWay(t *testing.T) {
 	is := is.New(t)
-	s := newTestServer(t, 4*500_000)
+	s := newTestServer(t, 4*500_000, 0)
 	stalled := s.dial()
 	stalled.sendBody("/", 140_000, 139_999)
-	s.awaitUsed(connBytes+requestBytes+140_000, 200_000)
+	s.awaitUsed(0, connBytes+requestBytes+140_000, 200_000)
 	ordinary := s.dial()
 	ordinary.sendBody("/", 140_000, 140_000)
 	resp, body := ordinary.response()
@@ -156,13 +161,14 @@
 	is.Equal(s.served.Load(), int64(1)) // the refused request was not run
 	_ = stalled.Close()
 	_ = ordinary.Close()
-	s.awaitUsed(0, 0)
+	s.awaitUsed(0, 0, 0)
+	s.awaitUsed(1, 0, 0)
 }
 
 // TestBodyOverLimit guards against chunked bodies that go on beyond the limit.
 func TestBodyOverLimit(t *testing.T) {
 	is := is.New(t)
-	s := newTestServer(t, 0)
+	s := newTestServer(t, 0, 0)
 	c := s.dial()
 	c.send("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n")
 	sent := make(chan int)
@@ -178,25 +184,67 @@
 	is.Equal(body, "body-too-large")
 	is.True(resp.close)
 	<-sent // the server closes the connection
-	s.awaitUsed(0, 0)
+	s.awaitUsed(0, 0, 0)
 }
 
 // TestEmptyLinesWithoutEnd guards against connections that never begin a request.
 func TestEmptyLinesWithoutEnd(t *testing.T) {
 	is := is.New(t)
-	s := newTestServer(t, 0)
+	s := newTestServer(t, 0, 0)
 	c := s.dial()
 	var err error
 	for err == nil {
 		_, err = io.WriteString(c, strings.Repeat("\r\n", 1_000))
 	}
 	is.True(!strings.Contains(err.Error(), "timeout")) // the server closed the connection
+	s.awaitUsed(1, 0, 0)
+}
+
+// TestSilentConnectionsGiveWay guards against connections without requests that keep
+// ordinary callers out.
+func TestSilentConnectionsGiveWay(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t, 0, 220) // 8 connections
+	for range 30 {
+		s.dial()
+	}
+	ordinary := s.dial()
+	ordinary.sendBody("/", 5, 5)
+	resp, _ := ordinary.response()
+	is.Equal(resp.status, http.StatusOK)
+}
+
+// TestConnectionsInUse guards against cutting off requests that are being answered: a new
+// connection is refused instead.
+func TestConnectionsInUse(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t, 0, 220) // 8 connections
+	var held []*caller
+	for range 8 {
+		c := s.dial()
+		c.send("GET /hold HTTP/1.1\r\nHost: a\r\n\r\n")
+		held = append(held, c)
+	}
+	for deadline := time.Now().Add(testTimeout); s.served.Load() < 8 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	c := s.dial()
+	c.sendBody("/", 5, 5)
+	resp, body := c.response()
+	is.Equal(resp.status, http.StatusServiceUnavailable)
+	is.True(strings.Contains(body, `"name":"router-full"`))
+	is.True(resp.retryAfter != "")
+	close(s.hold)
+	for _, h := range held {
+		resp, _ := h.response()
+		is.Equal(resp.status, http.StatusOK)
+	}
 }
 
 // TestKeptConnections guards against breaking what callers may do on one connection.
 func TestKeptConnections(t *testing.T) {
 	is := is.New(t)
-	s := newTestServer(t, 0)
+	s := newTestServer(t, 0, 0)
 	c := s.dial()
 	c.sendBody("/unauthorized", 5, 5)
 	resp, _ := c.response()
@@ -226,5 +274,6 @@
 		is.Equal(resp.status, http.StatusOK)
 		is.Equal(body, want)
 	}
-	s.awaitUsed(0, 0)
+	s.awaitUsed(0, 0, 0)
+	s.awaitUsed(1, 0, 0)
 }
