waxintake: bound the time for headers and bodies

Callers saw: a request whose body stays short of its end is kept beyond its deadline and the timeout of its route; so is one that is refused while a part of its body is missing, and its refusal waits for the rest. 200 such requests with a timeout of 2 s were all open after 6 s, without an answer.

Cause: net/http limits the time for a body only together with that for the header, for all requests alike; the deadline of a request was applied after its body was read. The header timeout of the configuration was not applied at all: the server's own is 10 s.

Change: the connection limits its reads. A body must be complete at the deadline of its request and go on by 1 KiB in 15 s, which leaves room for six retransmissions of a lost segment. A header may take 2 s more than the configuration says. Such a request gets 408 and the new code request-timeout, it has not run, and the connection is closed. The body of a refused request is read for 500 ms at most.

--- a/waxfleet/code.go
+++ b/waxfleet/code.go
@@ -32,6 +32,7 @@
 	CodeUnknownPath    Code = 1014
 	CodeUnknownRoute   Code = 1015
 	CodeBadRequest     Code = 1016
+	CodeRequestTimeout Code = 1017
 
 	CodeOverloaded        Code = 2001
 	CodeDeadlineWouldPass Code = 2002
@@ -106,6 +107,7 @@
 	CodeUnknownPath:          {"unknown-path", http.StatusNotFound, true},
 	CodeUnknownRoute:         {"unknown-route", http.StatusNotFound, true},
 	CodeBadRequest:           {"bad-request", http.StatusBadRequest, true},
+	CodeRequestTimeout:       {"request-timeout", http.StatusRequestTimeout, true},
 	CodeRouterFull:           {"router-full", http.StatusServiceUnavailable, true},
 	CodeConfigStale:          {"config-stale", http.StatusServiceUnavailable, true},
 	CodeStopping:             {"stopping", http.StatusServiceUnavailable, true},
--- a/waxfleet/waxforward/body.go
+++ b/waxfleet/waxforward/body.go
@@ -20,7 +20,7 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := req.intake.ReadBody(r.Body, r.ContentLength, limit)
+	body, err := req.intake.ReadBody(r.Body, r.ContentLength, limit, req.deadline)
 	if err != nil && waxfleet.CodeOf(err) == waxfleet.CodeInternal {
 		return waxfleet.WrapError(err, waxfleet.CodeCancelled, "request body ended early")
 	}
@@ -32,7 +32,7 @@
 // connected, though its body was not read to the end.
 func refusedByIntake(code waxfleet.Code) bool {
 	switch code {
-	case waxfleet.CodeRouterFull, waxfleet.CodeBodyTooLarge:
+	case waxfleet.CodeRouterFull, waxfleet.CodeRequestTimeout, waxfleet.CodeBodyTooLarge:
 		return true
 	}
 	return false
--- a/waxfleet/waxfront/instance.go
+++ b/waxfleet/waxfront/instance.go
@@ -274,6 +274,7 @@
 		MaxOpenFiles: settings.MaxOpenFiles,
 		Clock:        inst.opts.Clock,
 		Log:          inst.log,
+		Limits:       inst.callerLimits,
 	})
 	inst.callerServer = &http.Server{
 		Handler: inst.forwarder,
@@ -339,6 +340,14 @@
 	return nil
 }
 
+// callerLimits returns the limits of the configuration in force; none before the first one.
+func (inst *Instance) callerLimits() waxfleet.CallerLimits {
+	if t := inst.table.Load(); t != nil {
+		return t.Limits()
+	}
+	return waxfleet.CallerLimits{}
+}
+
 // serveReady responds to the readiness probes of the load balancer.
 func (inst *Instance) serveReady(c echo.Context) error {
 	ready, reason := inst.Ready()
--- a/waxfleet/waxintake/accounts_test.go
+++ b/waxfleet/waxintake/accounts_test.go
@@ -62,6 +62,12 @@
 		return s.result(c.charge(int64(n)))
 	case "whole":
 		return s.result(c.Whole())
+	case "deadline":
+		d.ScanArgs(t, "ms", &n)
+		c.startBody(s.clock.Now() + waxfleet.Millis(n))
+		return ""
+	case "timeout":
+		return s.result(c.timedOut())
 	case "refuse":
 		return fmt.Sprintf("keep=%t", c.KeepAfterRefusal(int64(n)))
 	case "end":
@@ -93,6 +99,9 @@
 			}
 			return a
 		}})),
+		Limits: func() waxfleet.CallerLimits {
+			return waxfleet.CallerLimits{HeaderTimeout: 3_000}
+		},
 	})
 }
 
--- a/waxfleet/waxintake/body.go
+++ b/waxfleet/waxintake/body.go
@@ -17,14 +17,15 @@
 )
 
 // ReadBody reads the body of a request into memory, which it charges as bytes arrive.
-// announced is the length of the body, or -1, and limit the maximum length.
+// announced is the length of the body, or -1, limit the maximum length, and deadline the
+// time until which the body must have arrived.
 //
-// Errors: CodeBodyTooLarge, CodeRouterFull; otherwise the error of r.
-func (c *Conn) ReadBody(r io.Reader, announced, limit int64) ([]byte, error) {
+// Errors: CodeBodyTooLarge, CodeRouterFull, CodeRequestTimeout; otherwise the error of r.
+func (c *Conn) ReadBody(r io.Reader, announced, limit int64, deadline waxfleet.Millis) ([]byte, error) {
 	if announced > limit {
 		return nil, waxfleet.NewError(waxfleet.CodeBodyTooLarge, "request body has %d bytes; the limit is %d", announced, limit)
 	}
-	c.startBody()
+	c.startBody(deadline)
 	size := announced
 	if announced < 0 {
 		size = limit + 1
@@ -43,13 +44,13 @@
 	return body, c.Whole()
 }
 
-func (c *Conn) startBody() {
+func (c *Conn) startBody(deadline waxfleet.Millis) {
 	if c == nil {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.bodyStarted = true
+	c.bodyStarted, c.deadline = true, deadline
 }
 
 // read reads from r until its end or until size bytes are read. It allocates a part after
--- a/waxfleet/waxintake/conn.go
+++ b/waxfleet/waxintake/conn.go
@@ -20,15 +20,21 @@
 )
 
 const (
-	// minProgress is the number of bytes that count as progress of a request.
-	minProgress = 1 << 10
+	// A body must go on by minProgress bytes in progressTimeout. The time exceeds that of
+	// six retransmissions of a lost segment.
+	minProgress                     = 1 << 10
+	progressTimeout waxfleet.Millis = 15_000
+	// headerSlack is added to the header timeout of the configuration for delays of the
+	// network.
+	headerSlack waxfleet.Millis = 2_000
 	// headerByteCost and headerLineCost are the memory that net/http needs for a byte and a
 	// line of a header.
 	headerByteCost = 2
 	headerLineCost = 128
 	// maxDiscardBytes is the length up to which the body of a refused request is read, so
-	// that the connection can be kept.
-	maxDiscardBytes = 64 << 10
+	// that the connection can be kept, and discardTimeout the time for that.
+	maxDiscardBytes                 = 64 << 10
+	discardTimeout  waxfleet.Millis = 500
 	// lingerTimeout and lingerBytes bound what is read from a refused connection before it
 	// is closed. Closing it with unread bytes would reset it, and the caller might lose the
 	// response.
@@ -56,10 +62,16 @@
 	held                  int64
 	waitingSince, movedAt waxfleet.Millis
 	// progress is the number of bytes since movedAt.
-	progress    int
-	bodyStarted bool
-	evicted     bool
-	dropped     bool
+	progress int
+	// deadline is the latest time for the header or the body to arrive; 0 if there is none.
+	deadline waxfleet.Millis
+	// serverDeadline is the read deadline that the http.Server has set, and limited is true
+	// while an earlier one of this package is in force.
+	serverDeadline time.Time
+	limited        bool
+	bodyStarted    bool
+	evicted        bool
+	dropped        bool
 	// failure is the reason for which the rest of the request is not read.
 	failure *waxfleet.Error
 }
@@ -87,7 +99,7 @@
 		return
 	}
 	c.phase, c.waitingSince, c.movedAt, c.progress = PhaseIdle, now, now, 0
-	c.bodyStarted, c.failure = false, nil
+	c.deadline, c.bodyStarted, c.failure = 0, false, nil
 }
 
 // Begin records that the header of a request was read. End must follow.
@@ -108,6 +120,7 @@
 	if hasBody {
 		c.phase = PhaseBody
 	}
+	c.deadline = 0
 	c.mu.Unlock()
 	if err := c.intake.charge(c, requestBytes); err != nil {
 		return c.fail(err)
@@ -128,6 +141,7 @@
 		return errEvicted()
 	}
 	c.phase = PhaseAnswer
+	c.unlimit()
 	return nil
 }
 
@@ -139,12 +153,13 @@
 }
 
 // KeepAfterRefusal reports whether the connection can be kept after the response to a request
-// that is refused, after the rest of its body was read. announced is the length of the
+// that is refused, and bounds what is still read of its body. announced is the length of the
 // body, or -1. If it reports false, the response must close the connection.
 func (c *Conn) KeepAfterRefusal(announced int64) bool {
 	if c == nil {
 		return true
 	}
+	now := c.intake.opts.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -152,6 +167,7 @@
 	case c.phase == PhaseAnswer:
 		return true
 	case c.phase == PhaseBody && !c.bodyStarted && announced >= 0 && announced <= maxDiscardBytes:
+		c.deadline = now + discardTimeout
 		return true
 	}
 	c.phase = PhaseClosing
@@ -243,37 +259,75 @@
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.serverDeadline, c.limited = t, false
 	if c.evicted {
 		t = longAgo
 	}
 	return c.TCPConn.SetReadDeadline(t)
 }
 
+// limit brings the read deadline forward to the latest time for the next part of a request.
+// It needs c.mu.
+func (c *Conn) limit(now waxfleet.Millis) {
+	by := c.deadline
+	if c.phase == PhaseBody && (by == 0 || c.movedAt+progressTimeout < by) {
+		by = c.movedAt + progressTimeout
+	}
+	if by == 0 {
+		return
+	}
+	at := time.Now().Add((by - now).Duration())
+	if !c.serverDeadline.IsZero() && c.serverDeadline.Before(at) {
+		return
+	}
+	c.limited = true
+	_ = c.TCPConn.SetReadDeadline(at)
+}
+
+// unlimit restores the read deadline of the http.Server. It needs c.mu.
+func (c *Conn) unlimit() {
+	if c.limited {
+		c.limited = false
+		_ = c.TCPConn.SetReadDeadline(c.serverDeadline)
+	}
+}
+
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	if !c.mayRead() {
 		return 0, io.EOF
 	}
-	n, err := c.TCPConn.Read(p)
-	if n > 0 {
-		if rerr := c.received(p[:n]); rerr != nil {
-			return 0, c.refuse(rerr)
+	for {
+		n, err := c.TCPConn.Read(p)
+		if n > 0 {
+			if rerr := c.received(p[:n]); rerr != nil {
+				return 0, c.refuse(rerr)
+			}
+			return n, err
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
 		}
-		return n, err
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
 		if rerr := c.timedOut(); rerr != nil {
 			return 0, c.refuse(rerr)
 		}
+		if c.serverTimedOut() {
+			return 0, err
+		}
 	}
-	return n, err
 }
 
-// mayRead reports whether more of the request is read.
+// mayRead reports whether more of the request is read, and limits the time for it.
 func (c *Conn) mayRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.phase != PhaseClosing
+	if c.phase == PhaseClosing {
+		return false
+	}
+	if !c.limited && !c.evicted && (c.phase == PhaseHeader || c.phase == PhaseBody) {
+		c.limit(c.intake.opts.Clock.Now())
+	}
+	return true
 }
 
 // received charges the bytes of a header, and records the progress of a request.
@@ -282,6 +336,9 @@
 	c.mu.Lock()
 	if c.phase == PhaseIdle {
 		c.phase, c.movedAt, c.progress = PhaseHeader, now, 0
+		if t := c.intake.opts.Limits().HeaderTimeout; t > 0 {
+			c.deadline = now + t + headerSlack
+		}
 	}
 	c.progress += len(p)
 	if c.progress >= minProgress {
@@ -295,17 +352,37 @@
 	return c.intake.charge(c, int64(len(p)*headerByteCost+bytes.Count(p, []byte{'\n'})*headerLineCost))
 }
 
-// timedOut returns the reason for which the rest of the request is not awaited, or nil if
-// there is none.
+// timedOut returns the reason for which the rest of the request is not awaited. It returns
+// nil if there is none, and limits the time again.
 func (c *Conn) timedOut() error {
+	now := c.intake.opts.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.evicted {
+	switch {
+	case c.evicted:
 		return errEvicted()
+	case c.phase == PhaseHeader && c.deadline > 0 && now >= c.deadline:
+		return waxfleet.NewError(waxfleet.CodeRequestTimeout, "request header did not arrive in time")
+	case c.phase == PhaseBody && c.deadline > 0 && now >= c.deadline:
+		return waxfleet.NewError(waxfleet.CodeRequestTimeout, "request body did not arrive in time")
+	case c.phase == PhaseBody && now >= c.movedAt+progressTimeout:
+		return waxfleet.NewError(waxfleet.CodeRequestTimeout, "less than %d bytes of the request body arrived in %d ms", minProgress, progressTimeout)
+	}
+	if c.phase == PhaseHeader || c.phase == PhaseBody {
+		c.limit(now)
+	} else {
+		_ = c.TCPConn.SetReadDeadline(c.serverDeadline)
 	}
 	return nil
 }
 
+// serverTimedOut reports whether the deadline of the http.Server has passed.
+func (c *Conn) serverTimedOut() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.serverDeadline.IsZero() && !c.serverDeadline.After(time.Now())
+}
+
 // refuse ends the reading of a request. The handler responds once it has begun; before, the
 // refusal is written here. net/http writes nothing itself after the returned error.
 func (c *Conn) refuse(cause error) error {
--- a/waxfleet/waxintake/intake.go
+++ b/waxfleet/waxintake/intake.go
@@ -50,6 +50,9 @@
 	MaxOpenFiles int
 	Clock        *waxfleet.Clock
 	Log          *slog.Logger
+	// Limits returns the limits that the current configuration sets for callers; fields that
+	// are 0 set none.
+	Limits func() waxfleet.CallerLimits
 }
 
 // Intake keeps the accounts of memory and descriptors for all connections of callers, and of
--- a/waxfleet/waxintake/server_test.go
+++ b/waxfleet/waxintake/server_test.go
@@ -30,16 +30,21 @@
 	in      *Intake
 	clock   *waxfleet.Clock
 	address string
-	served  atomic.Int64
+	// bodyTimeout is the time until the deadline of a request.
+	bodyTimeout waxfleet.Millis
+	served      atomic.Int64
 	// hold keeps requests with the path /hold waiting.
 	hold chan struct{}
 }
 
-func newTestServer(t *testing.T, memory int64, maxOpenFiles int) *testServer {
+func newTestServer(t *testing.T, memory int64, maxOpenFiles int, bodyTimeout waxfleet.Millis) *testServer {
 	t.Helper()
-	s := &testServer{t: t, clock: waxfleet.NewClock(), hold: make(chan struct{})}
+	s := &testServer{t: t, clock: waxfleet.NewClock(), bodyTimeout: bodyTimeout, hold: make(chan struct{})}
 	s.in = New(Options{
 		MemoryBytes: memory, MaxOpenFiles: maxOpenFiles, Clock: s.clock, Log: slog.New(slog.DiscardHandler),
+		Limits: func() waxfleet.CallerLimits {
+			return waxfleet.CallerLimits{HeaderTimeout: 3_000}
+		},
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -63,7 +68,7 @@
 	case r.URL.Path == "/unauthorized":
 		err = waxfleet.NewError(waxfleet.CodeUnauthorized, "no key")
 	case r.ContentLength != 0:
-		body, err = c.ReadBody(r.Body, r.ContentLength, testBodyLimit)
+		body, err = c.ReadBody(r.Body, r.ContentLength, testBodyLimit, s.clock.Now()+s.bodyTimeout)
 	}
 	if err != nil {
 		if !c.KeepAfterRefusal(r.ContentLength) {
@@ -145,7 +150,7 @@
 // memory of the process.
 func TestStalledBodyGivesWay(t *testing.T) {
 	is := is.New(t)
-	s := newTestServer(t, 4*500_000, 0)
+	s := newTestServer(t, 4*500_000, 0, 60_000)
 	stalled := s.dial()
 	stalled.sendBody("/", 140_000, 139_999)
 	s.awaitUsed(0, connBytes+requestBytes+140_000, 200_000)
@@ -168,7 +173,7 @@
 // TestBodyOverLimit guards against chunked bodies that go on beyond the limit.
 func TestBodyOverLimit(t *testing.T) {
 	is := is.New(t)
-	s := newTestServer(t, 0, 0)
+	s := newTestServer(t, 0, 0, 60_000)
 	c := s.dial()
 	c.send("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n")
 	sent := make(chan int)
@@ -187,10 +192,23 @@
 	s.awaitUsed(0, 0, 0)
 }
 
+// TestLateBody guards against requests that wait for their bodies beyond their deadlines.
+func TestLateBody(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t, 0, 0, 100)
+	c := s.dial()
+	c.sendBody("/", 10, 9)
+	resp, body := c.response()
+	is.Equal(resp.status, http.StatusRequestTimeout)
+	is.Equal(body, "request-timeout")
+	is.True(resp.close)
+	is.Equal(s.served.Load(), int64(0))
+}
+
 // TestEmptyLinesWithoutEnd guards against connections that never begin a request.
 func TestEmptyLinesWithoutEnd(t *testing.T) {
 	is := is.New(t)
-	s := newTestServer(t, 0, 0)
+	s := newTestServer(t, 0, 0, 60_000)
 	c := s.dial()
 	var err error
 	for err == nil {
@@ -204,7 +222,7 @@
 // ordinary callers out.
 func TestSilentConnectionsGiveWay(t *testing.T) {
 	is := is.New(t)
-	s := newTestServer(t, 0, 220) // 8 connections
+	s := newTestServer(t, 0, 220, 60_000) // 8 connections
 	for range 30 {
 		s.dial()
 	}
@@ -218,7 +236,7 @@
 // connection is refused instead.
 func TestConnectionsInUse(t *testing.T) {
 	is := is.New(t)
-	s := newTestServer(t, 0, 220) // 8 connections
+	s := newTestServer(t, 0, 220, 60_000) // 8 connections
 	var held []*caller
 	for range 8 {
 		c := s.dial()
@@ -244,7 +262,7 @@
 // TestKeptConnections guards against breaking what callers may do on one connection.
 func TestKeptConnections(t *testing.T) {
 	is := is.New(t)
-	s := newTestServer(t, 0, 0)
+	s := newTestServer(t, 0, 0, 60_000)
 	c := s.dial()
 	c.sendBody("/unauthorized", 5, 5)
 	resp, _ := c.response()
