waxintake: apply the configuration's limit on headers

Callers could send headers of up to 64 KiB whatever the configuration says: the limit of an http.Server is fixed when it starts, and a configuration changes while it runs. Many short lines cost a multiple of their bytes.

Change: the connection counts the bytes of a header and responds with 431 above max_header_bytes. A read may contain 4 KiB of what follows the header, so that the limit is as much less strict.

--- a/waxfleet/waxintake/accounts_test.go
+++ b/waxfleet/waxintake/accounts_test.go
@@ -100,7 +100,7 @@
 			return a
 		}})),
 		Limits: func() waxfleet.CallerLimits {
-			return waxfleet.CallerLimits{HeaderTimeout: 3_000}
+			return waxfleet.CallerLimits{MaxHeaderBytes: 16_384, HeaderTimeout: 3_000}
 		},
 	})
 }
--- a/waxfleet/waxintake/conn.go
+++ b/waxfleet/waxintake/conn.go
@@ -31,6 +31,9 @@
 	// line of a header.
 	headerByteCost = 2
 	headerLineCost = 128
+	// readAhead is the size of net/http's read buffer: a read may contain as many bytes
+	// beyond the header.
+	readAhead = 4 << 10
 	// maxDiscardBytes is the length up to which the body of a refused request is read, so
 	// that the connection can be kept, and discardTimeout the time for that.
 	maxDiscardBytes                 = 64 << 10
@@ -62,7 +65,8 @@
 	held                  int64
 	waitingSince, movedAt waxfleet.Millis
 	// progress is the number of bytes since movedAt.
-	progress int
+	progress    int
+	headerBytes int
 	// deadline is the latest time for the header or the body to arrive; 0 if there is none.
 	deadline waxfleet.Millis
 	// serverDeadline is the read deadline that the http.Server has set, and limited is true
@@ -335,7 +339,7 @@
 	now := c.intake.opts.Clock.Now()
 	c.mu.Lock()
 	if c.phase == PhaseIdle {
-		c.phase, c.movedAt, c.progress = PhaseHeader, now, 0
+		c.phase, c.movedAt, c.progress, c.headerBytes = PhaseHeader, now, 0, 0
 		if t := c.intake.opts.Limits().HeaderTimeout; t > 0 {
 			c.deadline = now + t + headerSlack
 		}
@@ -348,7 +352,12 @@
 		c.mu.Unlock()
 		return nil
 	}
+	c.headerBytes += len(p)
+	size := c.headerBytes
 	c.mu.Unlock()
+	if limit := c.intake.opts.Limits().MaxHeaderBytes; limit > 0 && size > limit+readAhead {
+		return waxfleet.NewError(waxfleet.CodeHeaderTooLarge, "request header exceeds %d bytes", limit)
+	}
 	return c.intake.charge(c, int64(len(p)*headerByteCost+bytes.Count(p, []byte{'\n'})*headerLineCost))
 }
 
--- a/waxfleet/waxintake/server_test.go
+++ b/waxfleet/waxintake/server_test.go
@@ -43,7 +43,7 @@
 	s.in = New(Options{
 		MemoryBytes: memory, MaxOpenFiles: maxOpenFiles, Clock: s.clock, Log: slog.New(slog.DiscardHandler),
 		Limits: func() waxfleet.CallerLimits {
-			return waxfleet.CallerLimits{HeaderTimeout: 3_000}
+			return waxfleet.CallerLimits{MaxHeaderBytes: 8_192, HeaderTimeout: 3_000}
 		},
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -205,6 +205,22 @@
 	is.Equal(s.served.Load(), int64(0))
 }
 
+// TestHeaderOverLimit guards against headers larger than the configuration allows, which
+// may be less than the limit of the http.Server.
+func TestHeaderOverLimit(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t, 0, 0, 60_000)
+	c := s.dial()
+	c.send("GET / HTTP/1.1\r\nHost: a\r\n%s", strings.Repeat("a: b\r\n", 3_000))
+	resp, _ := c.response()
+	is.Equal(resp.status, http.StatusRequestHeaderFieldsTooLarge)
+	is.True(resp.close)
+	c = s.dial()
+	c.send("GET / HTTP/1.1\r\nHost: a\r\nlong: %s\r\n\r\n", strings.Repeat("x", 8_100))
+	resp, _ = c.response()
+	is.Equal(resp.status, http.StatusOK)
+}
+
 // TestEmptyLinesWithoutEnd guards against connections that never begin a request.
 func TestEmptyLinesWithoutEnd(t *testing.T) {
 	is := is.New(t)
