waxintake: bound what unread answers hold

Callers saw nothing; an instance held the requests of callers who don't read their answers: a write to a full connection has no timeout, so that its goroutine, its body and up to 256 KiB of a buffered answer stayed until the caller closed, though the deadline of the request had passed. The account of memory did not count buffered answers.

Change: a caller has until 2 s after the deadline of its request to read the answer; then the write fails. Buffered answers are charged. Without memory for one, it is streamed instead, which gives up repeating the request if the answer turns out to be incomplete, but refuses nothing that has run.

--- a/waxfleet/waxforward/body.go
+++ b/waxfleet/waxforward/body.go
@@ -41,6 +41,9 @@
 // closeAfterRefusal makes the error response close the connection, unless the next request
 // can follow on it.
 func (req *requestState) closeAfterRefusal() {
+	if req.deadline == 0 {
+		req.intake.AnswerBy(req.arrivedAt + defaultTimeout)
+	}
 	if !req.intake.KeepAfterRefusal(req.bodyLength) {
 		req.response.w.Header().Set("Connection", "close")
 	}
--- a/waxfleet/waxforward/forwarder.go
+++ b/waxfleet/waxforward/forwarder.go
@@ -259,6 +259,7 @@
 		timeout = min(timeout, route.Timeout())
 	}
 	req.deadline = req.arrivedAt + timeout
+	req.intake.AnswerBy(req.deadline)
 	if err := f.readBody(req, r); err != nil {
 		return err
 	}
--- a/waxfleet/waxforward/relay.go
+++ b/waxfleet/waxforward/relay.go
@@ -118,11 +118,10 @@
 // relayBuffered reads the complete response before it sends it. It streams a response
 // over maxBufferedBytes.
 func (f *Forwarder) relayBuffered(ctx context.Context, req *requestState, resp *waxpool.Response) (result, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
+	body, whole, err := req.intake.ReadAnswer(resp.Body, maxBufferedBytes)
 	if err != nil {
 		return resultMayHaveRun, waxfleet.WrapError(err, waxfleet.CodeBackendDied, "response ended early")
 	}
-	whole := len(body) < maxBufferedBytes
 	if whole {
 		if err := f.confirmEnd(ctx, req, resp); err != nil {
 			return resultMayHaveRun, err
--- a/waxfleet/waxintake/body.go
+++ b/waxfleet/waxintake/body.go
@@ -44,6 +44,16 @@
 	return body, c.Whole()
 }
 
+// ReadAnswer reads a response of at most limit bytes into memory. whole is false if the
+// response is longer, or if there is no memory for more of it.
+func (c *Conn) ReadAnswer(r io.Reader, limit int64) (body []byte, whole bool, err error) {
+	body, err = c.read(r, limit)
+	if waxfleet.CodeOf(err) == waxfleet.CodeRouterFull {
+		return body, false, nil
+	}
+	return body, int64(len(body)) < limit, err
+}
+
 func (c *Conn) startBody(deadline waxfleet.Millis) {
 	if c == nil {
 		return
--- a/waxfleet/waxintake/conn.go
+++ b/waxfleet/waxintake/conn.go
@@ -48,6 +48,9 @@
 	// minRetryAfter and maxRetryAfter bound the Retry-After delay of refusals.
 	minRetryAfter waxfleet.Millis = 200
 	maxRetryAfter waxfleet.Millis = 600
+	// answerSlack is the time after the deadline of a request in which a caller may read the
+	// rest of the response.
+	answerSlack waxfleet.Millis = 2_000
 )
 
 // longAgo is a deadline that has passed.
@@ -178,6 +181,17 @@
 	return false
 }
 
+// AnswerBy sets the time until which the caller may read the response. A caller that does
+// not read it would hold it forever.
+func (c *Conn) AnswerBy(deadline waxfleet.Millis) {
+	if c == nil {
+		return
+	}
+	left := deadline + answerSlack - c.intake.opts.Clock.Now()
+	// An error means that the connection is closed. http.Server clears the deadline.
+	_ = c.SetWriteDeadline(time.Now().Add(left.Duration()))
+}
+
 // hold adds n bytes to what the current request holds. It reports false if the connection was
 // evicted.
 func (c *Conn) hold(n int64) bool {
--- a/waxfleet/waxintake/server_test.go
+++ b/waxfleet/waxintake/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"log/slog"
@@ -35,11 +36,13 @@
 	served      atomic.Int64
 	// hold keeps requests with the path /hold waiting.
 	hold chan struct{}
+	// written gets the error of a response without end.
+	written chan error
 }
 
 func newTestServer(t *testing.T, memory int64, maxOpenFiles int, bodyTimeout waxfleet.Millis) *testServer {
 	t.Helper()
-	s := &testServer{t: t, clock: waxfleet.NewClock(), bodyTimeout: bodyTimeout, hold: make(chan struct{})}
+	s := &testServer{t: t, clock: waxfleet.NewClock(), bodyTimeout: bodyTimeout, hold: make(chan struct{}), written: make(chan error, 1)}
 	s.in = New(Options{
 		MemoryBytes: memory, MaxOpenFiles: maxOpenFiles, Clock: s.clock, Log: slog.New(slog.DiscardHandler),
 		Limits: func() waxfleet.CallerLimits {
@@ -78,8 +81,17 @@
 		return
 	}
 	s.served.Add(1)
-	if r.URL.Path == "/hold" {
+	switch r.URL.Path {
+	case "/hold":
 		<-s.hold
+	case "/endless":
+		c.AnswerBy(s.clock.Now() + 200 - answerSlack)
+		part := bytes.Repeat([]byte("x"), 64<<10)
+		for err == nil {
+			_, err = w.Write(part)
+		}
+		s.written <- err
+		return
 	}
 	_, _ = fmt.Fprintf(w, "%d bytes", len(body))
 }
@@ -234,6 +246,46 @@
 	s.awaitUsed(1, 0, 0)
 }
 
+// TestUnreadAnswer guards against callers that don't read their responses and hold a request
+// forever.
+func TestUnreadAnswer(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t, 0, 0, 60_000)
+	c := s.dial()
+	c.send("GET /endless HTTP/1.1\r\nHost: a\r\n\r\n")
+	select {
+	case err := <-s.written:
+		is.True(err != nil)
+	case <-time.After(testTimeout):
+		t.Fatal("the response is still being written")
+	}
+	s.awaitUsed(0, 0, 0)
+}
+
+// TestAnswerWithoutMemory guards against buffering responses when callers already hold all of
+// the memory: the rest is streamed.
+func TestAnswerWithoutMemory(t *testing.T) {
+	is := is.New(t)
+	in := New(Options{MemoryBytes: 4 * 100_000, Clock: waxfleet.NewManualClock(0), Log: slog.New(slog.DiscardHandler)})
+	c := in.open(&net.TCPConn{})
+	is.NoErr(c.Begin(false))
+	answer := strings.Repeat("0123456789", 20_000)
+	r := strings.NewReader(answer)
+	body, whole, err := c.ReadAnswer(r, 256<<10)
+	is.NoErr(err)
+	is.True(!whole)
+	rest, err := io.ReadAll(r)
+	is.NoErr(err)
+	is.Equal(string(body)+string(rest), answer)
+	body, whole, err = c.ReadAnswer(strings.NewReader(answer[:5_000]), 256<<10)
+	is.NoErr(err)
+	is.True(whole)
+	is.Equal(string(body), answer[:5_000])
+	_, whole, err = (*Conn)(nil).ReadAnswer(strings.NewReader(answer), 100_000)
+	is.NoErr(err)
+	is.True(!whole)
+}
+
 // TestSilentConnectionsGiveWay guards against connections without requests that keep
 // ordinary callers out.
 func TestSilentConnectionsGiveWay(t *testing.T) {
