waxentry: bound what callers hold at the own interface

Change: its listener for callers uses waxintake. A body must go on by 1 KiB in 15 s; a caller has 60 s to read the next part of an answer, since streams have no deadline there. Refusals with unread bodies close the connection.

Not covered: what another instance sends on by Peer.Serve is not counted there; the instance that took it from the caller counts it.

No crowd was run against this entry.

--- a/waxfleet/waxentry/entry.go
+++ b/waxfleet/waxentry/entry.go
@@ -8,11 +8,11 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
 	"net/url"
 	"path"
+	"strconv"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -25,6 +25,7 @@
 	"waxwingdrift.org/waxfleet"
 	"waxwingdrift.org/waxfleet/waxclaim"
 	"waxwingdrift.org/waxfleet/waxconn"
+	"waxwingdrift.org/waxfleet/waxintake"
 	"waxwingdrift.org/waxfleet/waxmetric"
 	"waxwingdrift.org/waxfleet/waxroute"
 )
@@ -45,6 +46,8 @@
 	maxHeaderValueBytes = 512
 	// bytesPerToken estimates the prompt length when the caller does not send it.
 	bytesPerToken = 4
+	// answerTimeout is the time in which a caller has to read the next part of a response.
+	answerTimeout waxfleet.Millis = 60_000
 	// chatPath is the path of the chat-completions API.
 	chatPath = "/v1/chat/completions"
 )
@@ -82,6 +85,7 @@
 	e := &Entry{Dependencies: deps, echo: echo.New()}
 	e.echo.HideBanner = true
 	e.echo.HTTPErrorHandler = handleNotFound
+	e.echo.Pre(e.trackConn)
 	e.echo.POST(chatPath, e.handleChat)
 	e.echo.Any("/services/:service/*", e.handlePlainService)
 	e.echo.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
@@ -93,15 +97,45 @@
 // ServeHTTP implements http.Handler.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.echo.ServeHTTP(w, r) }
 
+// trackConn tells the connection when a request begins and ends.
+func (e *Entry) trackConn(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		r := c.Request()
+		conn := waxintake.Of(r.Context())
+		conn.AnswerBy(e.Clock.Now() + answerTimeout)
+		defer conn.End()
+		if err := conn.Begin(r.ContentLength != 0); err != nil {
+			return respondWithError(c, err, requestID(r))
+		}
+		return next(c)
+	}
+}
+
+// respondWithError writes an error response. It closes the connection if the rest of the
+// request is not read.
+func respondWithError(c echo.Context, err error, id string) error {
+	var coded *waxfleet.Error
+	if !errors.As(err, &coded) {
+		coded = waxfleet.WrapError(err, waxfleet.CodeInternal, "internal error")
+	}
+	h := c.Response().Header()
+	h.Set(HeaderRequestID, id)
+	if coded.Code() == waxfleet.CodeRouterFull {
+		h.Set("Retry-After", strconv.FormatFloat(waxintake.RetryAfter().Duration().Seconds(), 'f', 3, 64))
+	}
+	if !waxintake.Of(c.Request().Context()).KeepAfterRefusal(c.Request().ContentLength) {
+		h.Set("Connection", "close")
+	}
+	return c.JSON(coded.Code().Status(), newErrorEnvelope(coded, id))
+}
+
 // handleNotFound responds to paths and methods that are not served.
 func handleNotFound(_ error, c echo.Context) {
 	if c.Response().Committed {
 		return
 	}
 	e := waxfleet.NewError(waxfleet.CodeUnknownPath, "%s %s is not served", c.Request().Method, c.Request().URL.Path)
-	id := requestID(c.Request())
-	c.Response().Header().Set(HeaderRequestID, id)
-	_ = c.JSON(e.Code().Status(), newErrorEnvelope(e, id))
+	_ = respondWithError(c, e, requestID(c.Request()))
 }
 
 func (e *Entry) handleReadyz(c echo.Context) error {
@@ -243,7 +277,7 @@
 	cfg := e.Config.Current()
 	response := &responseWriter{
 		response: c.Response(), clock: e.Clock, startedAt: startedAt, timeToFirstByte: -1,
-		conn: waxconn.Of(r.Context()), closeDelimited: !r.ProtoAtLeast(1, 1),
+		conn: waxconn.Of(r.Context()), intake: waxintake.Of(r.Context()), closeDelimited: !r.ProtoAtLeast(1, 1),
 	}
 	err := e.readRequest(r, req, cfg)
 	if err == nil {
@@ -286,7 +320,7 @@
 		}
 		panic(http.ErrAbortHandler)
 	}
-	return c.JSON(coded.Code().Status(), newErrorEnvelope(coded, req.ID))
+	return respondWithError(c, err, req.ID)
 }
 
 type errorJSON struct {
@@ -355,16 +389,19 @@
 		return waxfleet.NewError(waxfleet.CodeNotAllowed, "price tier %q is not allowed for workspace %s", name, req.Workspace.Name())
 	}
 	req.ContentType = r.Header.Get("Content-Type")
+	if r.ContentLength == 0 {
+		return nil
+	}
 	limit := cfg.Limits().MaxBodyBytes()
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
+	body, err := waxintake.Of(r.Context()).ReadBody(r.Body, r.ContentLength, limit, 0)
+	switch waxfleet.CodeOf(err) {
+	case waxfleet.CodeInternal:
 		return waxfleet.WrapError(err, waxfleet.CodeMalformedBody, "the body could not be read")
-	}
-	if int64(len(body)) > limit {
+	case waxfleet.CodeBodyTooLarge:
 		return waxfleet.NewError(waxfleet.CodeBodyTooLarge, "the body is larger than %d bytes", limit)
 	}
 	req.Body = body
-	return nil
+	return err
 }
 
 // requestDigest returns a digest that is the same for all attempts to send a request.
--- a/waxfleet/waxentry/writer.go
+++ b/waxfleet/waxentry/writer.go
@@ -7,6 +7,7 @@
 
 	"waxwingdrift.org/waxfleet"
 	"waxwingdrift.org/waxfleet/waxconn"
+	"waxwingdrift.org/waxfleet/waxintake"
 )
 
 // responseWriter writes a response to the caller. It implements waxroute.ResponseWriter.
@@ -21,6 +22,7 @@
 	// closeDelimited is true if the response ends with the caller's connection, because
 	// the caller does not understand chunks.
 	closeDelimited bool
+	intake         *waxintake.Conn
 }
 
 // Head implements waxroute.ResponseWriter.
@@ -48,6 +50,7 @@
 	if w.timeToFirstByte < 0 {
 		w.timeToFirstByte = w.clock.Now() - w.startedAt
 	}
+	w.intake.AnswerBy(w.clock.Now() + answerTimeout)
 	if _, err := w.response.Write(part); err != nil {
 		return err
 	}
--- a/waxfleet/waxnode/local.go
+++ b/waxfleet/waxnode/local.go
@@ -148,6 +148,7 @@
 	n.metrics.SetGauge("in_flight", float64(n.owner.InFlight()))
 	n.metrics.SetGauge("config_version", float64(n.ConfigVersion()))
 	n.metrics.SetGauge("chat_exceptions", float64(n.owner.ExceptionCount()))
+	n.metrics.SetIntake(n.intake.Usages())
 }
 
 // priorityPeers returns the IDs of the peers that are the standby of a backend server
--- a/waxfleet/waxnode/node.go
+++ b/waxfleet/waxnode/node.go
@@ -20,6 +20,7 @@
 	"waxwingdrift.org/waxfleet/waxconn"
 	"waxwingdrift.org/waxfleet/waxdispatch"
 	"waxwingdrift.org/waxfleet/waxentry"
+	"waxwingdrift.org/waxfleet/waxintake"
 	"waxwingdrift.org/waxfleet/waxlease"
 	"waxwingdrift.org/waxfleet/waxmember"
 	"waxwingdrift.org/waxfleet/waxmetric"
@@ -77,6 +78,7 @@
 	recorder    *waxrecord.Recorder
 	metrics     *waxmetric.Metrics
 
+	intake       *waxintake.Intake
 	callerServer *http.Server
 	peerServer   *http.Server
 	// flushSpans writes the buffered spans.
@@ -212,12 +214,17 @@
 		Clock: n.clock, Config: config, Table: n.table, Links: n.links, Local: n.owner, Suspects: n.suspects,
 		Recorder: n.recorder, Tracer: tracer, Log: n.log, MaxDomainExceptions: n.settings.MaxExceptions,
 	})
+	n.intake = waxintake.New(waxintake.Options{
+		MemoryBytes: int64(n.settings.MemoryMB) << 20, MaxOpenFiles: n.settings.MaxOpenFiles, Clock: n.clock, Log: n.log,
+		Limits: func() waxfleet.CallerLimits { return waxfleet.CallerLimits{} },
+	})
 	n.callerServer = &http.Server{
 		Handler: n.trackCalls(waxentry.New(waxentry.Dependencies{
 			Clock: n.clock, Config: n.config, Router: router, Recorder: n.recorder, Metrics: n.metrics,
 			Tracer: tracer, Log: n.log, Ready: n.Ready,
 		})),
 		ConnContext:    waxconn.Context,
+		ConnState:      waxintake.Track,
 		MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout,
 		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
 	}
@@ -248,7 +255,7 @@
 
 // serve accepts connections until ctx ends.
 func (n *Node) serve(ctx context.Context, callers, peers net.Listener) {
-	go func() { _ = n.callerServer.Serve(callers) }()
+	go func() { _ = n.callerServer.Serve(n.intake.Listener(callers)) }()
 	go func() { _ = n.peerServer.Serve(&countedListener{Listener: peers, counter: n.byteCounter}) }()
 	go func() {
 		<-ctx.Done()
--- a/waxfleet/waxnode/settings.go
+++ b/waxfleet/waxnode/settings.go
@@ -39,6 +39,10 @@
 	MaxExceptions int
 	// MaxRecords is the number of recent requests whose routing decisions are kept.
 	MaxRecords int
+	// MemoryMB is the memory limit of the process in MB, and MaxOpenFiles the maximum number of
+	// its descriptors. What callers make it hold is bounded by a part of them; 0 means
+	// unlimited.
+	MemoryMB, MaxOpenFiles int
 	// TraceWriter receives trace spans as JSON; nil disables tracing.
 	TraceWriter io.Writer
 	// Hooks replace components for tests; the router sets none.
@@ -51,6 +55,8 @@
 	DefaultListInterval    waxfleet.Millis = 1_000
 	DefaultMaxExceptions                   = 100_000
 	DefaultMaxRecords                      = 2_000
+	DefaultMemoryMB                        = 1_024
+	DefaultMaxOpenFiles                    = 4_096
 )
 
 const (
@@ -59,6 +65,7 @@
 	minListInterval    waxfleet.Millis = 100
 	maxListInterval    waxfleet.Millis = 60_000
 	maxTableSize                       = 10_000_000
+	maxMemoryMB                        = 1 << 20
 )
 
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
@@ -99,6 +106,12 @@
 			return invalidSetting(n.flag, strconv.Itoa(n.value), "1 to 10000000")
 		}
 	}
+	if s.MemoryMB < 0 || s.MemoryMB > maxMemoryMB {
+		return invalidSetting("memory-mb", strconv.Itoa(s.MemoryMB), "0 to 1048576")
+	}
+	if s.MaxOpenFiles < 0 || s.MaxOpenFiles > maxTableSize {
+		return invalidSetting("max-open-files", strconv.Itoa(s.MaxOpenFiles), "0 to 10000000")
+	}
 	return nil
 }
 
--- a/waxrouter/settings.go
+++ b/waxrouter/settings.go
@@ -31,6 +31,8 @@
 	f.Int64("list-interval-ms", int64(waxnode.DefaultListInterval), "interval between reads of the instance list, in ms")
 	f.Int("exceptions", waxnode.DefaultMaxExceptions, "maximum number of remembered chats that are placed away from their first choice")
 	f.Int("records", waxnode.DefaultMaxRecords, "maximum number of requests whose decisions are kept for explain")
+	f.Int("memory-mb", waxnode.DefaultMemoryMB, "memory limit of the process in MB; callers may make it hold a quarter; 0 means unlimited")
+	f.Int("max-open-files", waxnode.DefaultMaxOpenFiles, "maximum number of open descriptors of the process; callers may hold half of those that are not for files; 0 means unlimited")
 	f.String("log-level", "info", "minimum level of log lines: debug, info, warn or error")
 	f.String("trace-file", "", "file that receives spans as JSON; - for standard output, empty to disable tracing")
 	f.Int64("drain-timeout-ms", 0, "timeout of the graceful shutdown in ms; 0 means none")
@@ -95,7 +97,7 @@
 		TraceWriter:     traceWriter,
 	}
 	values := map[string]int64{}
-	for _, flag := range []string{"progress-timeout-ms", "list-interval-ms", "exceptions", "records"} {
+	for _, flag := range []string{"progress-timeout-ms", "list-interval-ms", "exceptions", "records", "memory-mb", "max-open-files"} {
 		n, err := intSetting(v, flag)
 		if err != nil {
 			return s, err
@@ -106,6 +108,7 @@
 	s.ListInterval = waxfleet.Millis(values["list-interval-ms"])
 	s.MaxExceptions = int(values["exceptions"])
 	s.MaxRecords = int(values["records"])
+	s.MemoryMB, s.MaxOpenFiles = int(values["memory-mb"]), int(values["max-open-files"])
 	return s, s.Validate()
 }
 
