waxfront, waxreplica: limit requests of other instances

The listeners for metrics, replicas, inspection and readiness probes, and the peer listener of waxrouter serve, took headers of up to 1 MiB, net/http's default, and the handlers of replicas and inspection messages of any size. Callers don't reach these ports; a program in error might.

Change: headers of up to 64 KiB like elsewhere, and 4 KiB for requests for changes and for the state of an instance, which are a few bytes long.

--- a/waxfleet/waxfront/instance.go
+++ b/waxfleet/waxfront/instance.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/labstack/echo/v4"
 
 	"waxwingdrift.org/waxfleet"
@@ -57,6 +58,8 @@
 	catchUpInterval waxfleet.Millis = 5
 	// maxHeaderBytes is the maximum size of a request header.
 	maxHeaderBytes = 64 << 10
+	// maxInspectionBytes is the maximum size of a request for the state of the instance.
+	maxInspectionBytes = 4 << 10
 )
 
 // Store gives access to the platform's metadata store.
@@ -303,7 +306,7 @@
 	}
 	path, handler := waxreplica.NewServer(inst.replicas.byFeed)
 	peers.Any(path+"*", echo.WrapHandler(handler))
-	path, handler = waxwireconnect.NewInspectionHandler(&inspectionHandler{instance: inst})
+	path, handler = waxwireconnect.NewInspectionHandler(&inspectionHandler{instance: inst}, connect.WithReadMaxBytes(maxInspectionBytes))
 	peers.Any(path+"*", echo.WrapHandler(handler))
 	for _, l := range []struct {
 		address string
@@ -314,9 +317,10 @@
 			Handler:           ready,
 			ReadHeaderTimeout: readHeaderTimeout,
 			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    maxHeaderBytes,
 		}},
 		{net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPeerPort+forwardPortOffset)), inst.peerServer},
-		{inst.peerAddress(), &http.Server{Handler: peers, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}},
+		{inst.peerAddress(), &http.Server{Handler: peers, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}},
 	} {
 		if l.server == inst.peerServer && settings.FirstPeerPort+forwardPortOffset > settings.LastPeerPort {
 			inst.log.Warn("no port to forward requests of other instances", "first-port", settings.FirstPeerPort, "last-port", settings.LastPeerPort)
--- a/waxfleet/waxnode/node.go
+++ b/waxfleet/waxnode/node.go
@@ -235,7 +235,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	protocols.SetHTTP1(true)
 	n.peerServer = &http.Server{
-		Handler: mux, Protocols: protocols, ReadHeaderTimeout: headerTimeout, ConnContext: withConn,
+		Handler: mux, Protocols: protocols, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, ConnContext: withConn,
 		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
 	}
 	n.initialized.Store(true)
--- a/waxfleet/waxreplica/server.go
+++ b/waxfleet/waxreplica/server.go
@@ -25,7 +25,7 @@
 // NewServer returns the path of the replica service and its handler. replicas is keyed
 // by feed name.
 func NewServer(replicas map[string]*Replica) (string, http.Handler) {
-	return waxwireconnect.NewReplicaHandler(&Server{replicas: replicas})
+	return waxwireconnect.NewReplicaHandler(&Server{replicas: replicas}, connect.WithReadMaxBytes(maxRequestBytes))
 }
 
 // Follow implements waxwireconnect.ReplicaHandler.
@@ -43,6 +43,8 @@
 }
 
 const (
+	// maxRequestBytes is the maximum size of a request for changes.
+	maxRequestBytes = 4 << 10
 	// peerDialTimeout is the timeout for connecting to another instance.
 	peerDialTimeout = 300 * time.Millisecond
 	// peerIdleTimeout is the timeout after which an idle connection to another instance
