waxpool: bound the idle connections of all pools

Callers that ask for plain services in a crowd made an instance open more descriptors than it may have: 1,005 sockets of 800 in the crowd answers-unread, 989 and 992 in connections-idle. Each request under way has a connection of its caller and one to a server, which the account of descriptors counts; the spare connections to plain servers and idle ones came on top.

The pools of an instance share a budget now, half of the descriptors that are left for callers and servers. Above it no connection is kept idle, and spare ones are opened up to a quarter of it.

--- a/waxfleet/waxforward/peer.go
+++ b/waxfleet/waxforward/peer.go
@@ -64,7 +64,7 @@
 		return resultNotSent, err
 	}
 	// A connection carries one request, so that none is lost with a reused one.
-	pool := waxpool.New(f.opts.Clock, f.opts.Protocol, p.Address, 1)
+	pool := waxpool.New(f.opts.Clock, f.opts.Protocol, f.servers.budget, p.Address, 1)
 	defer pool.Close()
 	conn, err := pool.Get(ctx)
 	if err != nil {
--- a/waxfleet/waxforward/peer_test.go
+++ b/waxfleet/waxforward/peer_test.go
@@ -17,6 +17,7 @@
 
 	"waxwingdrift.org/waxfleet"
 	"waxwingdrift.org/waxfleet/waxpeer"
+	"waxwingdrift.org/waxfleet/waxpool"
 	"waxwingdrift.org/waxfleet/waxtable"
 )
 
@@ -111,7 +112,10 @@
 		peer := newTestPeer(t, peerResponse(d, t))
 		route := waxfleet.NewRoute(waxfleet.RouteSpec{Name: "stream", Host: "h", Prefix: "/", Kind: waxfleet.KindStream, Public: true})
 		clock := waxfleet.NewClock()
-		f := New(Options{Clock: clock, Protocol: testProtocol{}, Log: slog.New(slog.DiscardHandler)})
+		f := New(Options{
+			Clock: clock, Protocol: testProtocol{}, Log: slog.New(slog.DiscardHandler),
+			Servers: NewServers(clock, testProtocol{}, waxpool.NewBudget(1000)),
+		})
 		w := httptest.NewRecorder()
 		r := httptest.NewRequest(http.MethodPost, "/a", nil)
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
--- a/waxfleet/waxforward/server.go
+++ b/waxfleet/waxforward/server.go
@@ -60,6 +60,7 @@
 type Servers struct {
 	clock    *waxfleet.Clock
 	protocol waxfleet.Protocol
+	budget   *waxpool.Budget
 
 	mu       sync.Mutex
 	servers  map[string]*serverState
@@ -69,11 +70,12 @@
 	linkChecks uint32
 }
 
-// NewServers returns a Servers without any server.
-func NewServers(clock *waxfleet.Clock, protocol waxfleet.Protocol) *Servers {
+// NewServers returns a Servers without any server. budget is that of connections to servers.
+func NewServers(clock *waxfleet.Clock, protocol waxfleet.Protocol, budget *waxpool.Budget) *Servers {
 	return &Servers{
 		clock:    clock,
 		protocol: protocol,
+		budget:   budget,
 		servers:  map[string]*serverState{},
 		services: map[string]*serviceState{},
 		domains:  map[string]*domainState{},
@@ -138,7 +140,7 @@
 		entry:           e,
 		start:           e.StartUnixMilli(),
 		incarnationHash: waxcache.IncarnationHash(id, e.StartUnixMilli()),
-		pool:            waxpool.New(s.clock, s.protocol, e.Server().Address(), connections),
+		pool:            waxpool.New(s.clock, s.protocol, s.budget, e.Server().Address(), connections),
 	}
 	if spare {
 		state.pool.KeepSpares(max(s.clock.Now()+firstSpareDuration, s.serviceState(e.Server().Service()).spareUntil))
--- a/waxfleet/waxfront/instance.go
+++ b/waxfleet/waxfront/instance.go
@@ -32,6 +32,7 @@
 	"waxwingdrift.org/waxfleet/waxorigin"
 	"waxwingdrift.org/waxfleet/waxpeer"
 	"waxwingdrift.org/waxfleet/waxplace"
+	"waxwingdrift.org/waxfleet/waxpool"
 	"waxwingdrift.org/waxfleet/waxquota"
 	"waxwingdrift.org/waxfleet/waxreplica"
 	"waxwingdrift.org/waxfleet/waxtable"
@@ -146,7 +147,7 @@
 	}
 	inst.bounds.Store(&settings.Bounds)
 	inst.directory = waxdirectory.New(opts.Clock)
-	inst.servers = waxforward.NewServers(opts.Clock, opts.Protocol)
+	inst.servers = waxforward.NewServers(opts.Clock, opts.Protocol, waxpool.NewBudget(waxintake.BackendConnections(settings.MaxOpenFiles)))
 	inst.loads = waxpeer.NewLoads(opts.Clock, settings.FailureDomain)
 	inst.cacheIndex = waxcache.NewIndex()
 	inst.crashes = waxcrash.New(opts.Clock, inst.trialRank)
--- a/waxfleet/waxintake/intake.go
+++ b/waxfleet/waxintake/intake.go
@@ -92,6 +92,10 @@
 	return int64(float64(memory) * memoryShare)
 }
 
+// BackendConnections returns the number of connections to backend servers that a process with a
+// maximum number of descriptors may keep open.
+func BackendConnections(maxOpenFiles int) int64 { return connectionBudget(maxOpenFiles) }
+
 // connectionBudget returns the number of connections that callers may hold open.
 func connectionBudget(maxOpenFiles int) int64 {
 	if maxOpenFiles <= 0 {
--- /dev/null
+++ b/waxfleet/waxpool/budget.go
@@ -0,0 +1,26 @@
+package waxpool
+
+import "sync/atomic"
+
+// spareShare is the part of the budget up to which spare connections are opened.
+const spareShare = 4
+
+// Budget bounds the connections that the pools of a process keep idle, as descriptors are
+// shared. It is safe for concurrent use.
+type Budget struct {
+	limit int64
+	open  atomic.Int64
+}
+
+// NewBudget returns a Budget of open connections. Requests may exceed it; idle connections
+// don't.
+func NewBudget(limit int64) *Budget { return &Budget{limit: limit} }
+
+// add adds n to the number of open connections.
+func (b *Budget) add(n int64) { b.open.Add(n) }
+
+// exceeded reports whether more connections are open than the budget allows.
+func (b *Budget) exceeded() bool { return b.open.Load() > b.limit }
+
+// allowsSpare reports whether a spare connection may be opened.
+func (b *Budget) allowsSpare() bool { return b.open.Load() < b.limit/spareShare }
--- a/waxfleet/waxpool/endless_test.go
+++ b/waxfleet/waxpool/endless_test.go
@@ -73,7 +73,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			address, sent := serveEndless(t, text.start, text.part)
-			p := New(waxfleet.NewClock(), plainProtocol{}, address, 1)
+			p := New(waxfleet.NewClock(), plainProtocol{}, NewBudget(1000), address, 1)
 			defer p.Close()
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
@@ -110,7 +110,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			address, _ := serveEndless(t, text.start, text.part)
-			p := New(waxfleet.NewClock(), plainProtocol{}, address, 1)
+			p := New(waxfleet.NewClock(), plainProtocol{}, NewBudget(1000), address, 1)
 			defer p.Close()
 			c, err := p.Get(context.Background())
 			is.NoErr(err)
--- a/waxfleet/waxpool/pool.go
+++ b/waxfleet/waxpool/pool.go
@@ -42,6 +42,7 @@
 	clock    *waxfleet.Clock
 	protocol waxfleet.Protocol
 	address  string
+	budget   *Budget
 	dialer   net.Dialer
 
 	mu        sync.Mutex
@@ -58,10 +59,10 @@
 }
 
 // New returns an empty pool. limit is the maximum number of open connections; a limit
-// below 1 counts as 1.
-func New(clock *waxfleet.Clock, protocol waxfleet.Protocol, address string, limit int) *Pool {
+// below 1 counts as 1. budget is that of all pools.
+func New(clock *waxfleet.Clock, protocol waxfleet.Protocol, budget *Budget, address string, limit int) *Pool {
 	return &Pool{
-		clock: clock, protocol: protocol, address: address, limit: max(limit, 1),
+		clock: clock, protocol: protocol, budget: budget, address: address, limit: max(limit, 1),
 		dialer: net.Dialer{
 			Timeout: dialTimeout.Duration(), Control: setUserTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{
@@ -126,7 +127,7 @@
 func (p *Pool) lacksSpare() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.keepsSpares() || p.openCount >= p.limit {
+	if !p.keepsSpares() || p.openCount >= p.limit || !p.budget.allowsSpare() {
 		return false
 	}
 	now, fresh := p.clock.Now(), 0
@@ -163,6 +164,7 @@
 	p.openCount++
 	p.dialCount++
 	p.mu.Unlock()
+	p.budget.add(1)
 	c, err := p.dial(ctx)
 	if err != nil {
 		p.connClosed()
@@ -279,10 +281,10 @@
 	p.addIdle(c)
 }
 
-// addIdle adds an idle connection, unless the pool is closed.
+// addIdle adds an idle connection, unless the pool is closed or too many are open.
 func (p *Pool) addIdle(c *Conn) {
 	p.mu.Lock()
-	if p.closed {
+	if p.closed || p.budget.exceeded() {
 		p.mu.Unlock()
 		c.Discard()
 		return
@@ -293,6 +295,7 @@
 
 // connClosed records that a connection was closed or could not be opened.
 func (p *Pool) connClosed() {
+	p.budget.add(-1)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.openCount--
--- a/waxfleet/waxpool/pool_test.go
+++ b/waxfleet/waxpool/pool_test.go
@@ -141,7 +141,7 @@
 func TestConnectionsAreReused(t *testing.T) {
 	is := is.New(t)
 	address, requests := serveScript(t, []string{response("1", "one"), response("2", "two")})
-	p := New(waxfleet.NewClock(), plainProtocol{}, address, 4)
+	p := New(waxfleet.NewClock(), plainProtocol{}, NewBudget(1000), address, 4)
 	defer p.Close()
 	body, reused, err := do(p, request("1"))
 	is.NoErr(err)
@@ -167,7 +167,7 @@
 		[]string{"nonsense\r\n\r\n"},
 		[]string{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nxx"},
 	)
-	p := New(waxfleet.NewClock(), plainProtocol{}, address, 4)
+	p := New(waxfleet.NewClock(), plainProtocol{}, NewBudget(1000), address, 4)
 	defer p.Close()
 	for _, want := range []string{"one", "two", "three"} {
 		id := map[string]string{"one": "1", "two": "2", "three": "3"}[want]
@@ -194,7 +194,7 @@
 	is := is.New(t)
 	const rejection = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 	address, requests := serveScript(t, []string{rejection, rejection + response("2", "two")}, []string{response("2", "two")})
-	p := New(waxfleet.NewClock(), plainProtocol{}, address, 4)
+	p := New(waxfleet.NewClock(), plainProtocol{}, NewBudget(1000), address, 4)
 	defer p.Close()
 	c, err := p.Get(context.Background())
 	is.NoErr(err)
@@ -217,7 +217,7 @@
 		[]string{"HTTP/1.1 200 OK\r\nAttempt: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n"},
 		[]string{"HTTP/1.1 200 OK\r\nAttempt: 1\r\n\r\nwithout a length"},
 	)
-	p := New(waxfleet.NewClock(), plainProtocol{}, address, 4)
+	p := New(waxfleet.NewClock(), plainProtocol{}, NewBudget(1000), address, 4)
 	defer p.Close()
 	for range 2 {
 		_, _, err := do(p, request("1"))
@@ -233,7 +233,7 @@
 func TestEarlyAnswer(t *testing.T) {
 	is := is.New(t)
 	address, _ := serveScript(t, []string{"early " + response("1", "early")}, []string{response("2", "two")})
-	p := New(waxfleet.NewClock(), plainProtocol{}, address, 4)
+	p := New(waxfleet.NewClock(), plainProtocol{}, NewBudget(1000), address, 4)
 	defer p.Close()
 	long := request("1")
 	long.Body = make([]byte, 8<<20)
@@ -253,7 +253,7 @@
 		[]string{"HTTP/1.1 200 OK\r\nAttempt: 1\r\nIdle: 2000\r\nContent-Length: 0\r\n\r\n", response("2", "x")},
 		[]string{response("2", "two")})
 	clock := waxfleet.NewManualClock(1_000)
-	p := New(clock, plainProtocol{}, address, 4)
+	p := New(clock, plainProtocol{}, NewBudget(1000), address, 4)
 	defer p.Close()
 	_, _, err := do(p, request("1"))
 	is.NoErr(err)
@@ -269,7 +269,7 @@
 func TestLimit(t *testing.T) {
 	is := is.New(t)
 	address, _ := serveScript(t, []string{response("1", "one")}, []string{response("2", "two")})
-	p := New(waxfleet.NewClock(), plainProtocol{}, address, 1)
+	p := New(waxfleet.NewClock(), plainProtocol{}, NewBudget(1000), address, 1)
 	c, err := p.Get(context.Background())
 	is.NoErr(err)
 	_, err = p.Get(context.Background())
@@ -283,7 +283,7 @@
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
 	is.NoErr(l.Close())
-	_, err = New(waxfleet.NewClock(), plainProtocol{}, l.Addr().String(), 1).Get(context.Background())
+	_, err = New(waxfleet.NewClock(), plainProtocol{}, NewBudget(1000), l.Addr().String(), 1).Get(context.Background())
 	is.Equal(waxfleet.CodeOf(err), waxfleet.CodePeerUnreachable)
 }
 
@@ -299,7 +299,7 @@
 			_, _ = io.WriteString(theirs, text)
 			_ = theirs.Close()
 		}()
-		c := newConn(mine, plainProtocol{}, &Pool{})
+		c := newConn(mine, plainProtocol{}, &Pool{budget: NewBudget(1)})
 		writeResult := make(chan error, 1)
 		writeResult <- nil
 		resp, err := c.readResponse(request("1"), writeResult)
@@ -356,7 +356,7 @@
 			is.NoErr(err)
 			t.Cleanup(func() { _ = l.Close() })
 			go serveProbes(t, l, test.response, test.probes)
-			p := New(waxfleet.NewClock(), plainProtocol{}, l.Addr().String(), 1)
+			p := New(waxfleet.NewClock(), plainProtocol{}, NewBudget(1000), l.Addr().String(), 1)
 			defer p.Close()
 			c, err := p.Get(context.Background())
 			is.NoErr(err)
@@ -415,7 +415,7 @@
 			address, _ := serveScript(t, conversations...)
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
-			p := New(waxfleet.NewClock(), plainProtocol{}, address, 9)
+			p := New(waxfleet.NewClock(), plainProtocol{}, NewBudget(1000), address, 9)
 			defer p.Close()
 			other := func() {
 				_, _, err := do(p, request("1"))
@@ -454,7 +454,7 @@
 	is := is.New(t)
 	late := "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n"
 	address, _ := serveScript(t, []string{response("1", "a")}, []string{"HTTP/1.1 200 OK\r\nAttempt: 2\r\n\r\nbody"})
-	p := New(waxfleet.NewClock(), plainProtocol{}, address, 9)
+	p := New(waxfleet.NewClock(), plainProtocol{}, NewBudget(1000), address, 9)
 	defer p.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
@@ -481,7 +481,7 @@
 	answers := []string{response("1", "a"), response("1", "b"), response("1", "c"), response("1", "d")}
 	for limit, dials := range map[int]int64{1: 1, 2: 2, 9: 2} {
 		address, _ := serveScript(t, answers, answers, answers)
-		p := New(waxfleet.NewClock(), plainProtocol{}, address, limit)
+		p := New(waxfleet.NewClock(), plainProtocol{}, NewBudget(1000), address, limit)
 		defer p.Close()
 		p.KeepSpares(p.clock.Now() + 60_000)
 		for range 4 {
@@ -530,7 +530,7 @@
 	is := is.New(t)
 	const silence = 2 * time.Second
 	address, _ := serveScript(t, []string{""})
-	p := New(waxfleet.NewClock(), plainProtocol{}, address, 1)
+	p := New(waxfleet.NewClock(), plainProtocol{}, NewBudget(1000), address, 1)
 	conn, err := p.Get(t.Context())
 	is.NoErr(err)
 	defer conn.Discard()
@@ -569,7 +569,7 @@
 		_, err = io.Copy(io.Discard, conn)
 		ended <- err
 	}()
-	p := New(waxfleet.NewClock(), plainProtocol{}, l.Addr().String(), 1)
+	p := New(waxfleet.NewClock(), plainProtocol{}, NewBudget(1000), l.Addr().String(), 1)
 	conn, err := p.Get(t.Context())
 	is.NoErr(err)
 	time.AfterFunc(50*time.Millisecond, conn.Discard)
