waxintake: derive the budget of connections from the lower limit

Callers of the own interface that kept 400 connections open at a process with a limit of 300 descriptors left none for an ordinary chat: its setting has a default of 4,096, and the operating system's limit is lower. The lower of the two counts.

--- a/waxfleet/waxintake/intake.go
+++ b/waxfleet/waxintake/intake.go
@@ -9,6 +9,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"waxwingdrift.org/waxfleet"
@@ -79,7 +80,7 @@
 		lingering: make(chan struct{}, maxLingering), closed: make(chan struct{}, 1),
 	}
 	in.memory.name, in.memory.budget = "memory", memoryBudget(opts.MemoryBytes)
-	in.connections.name, in.connections.budget = "connections", connectionBudget(opts.MaxOpenFiles)
+	in.connections.name, in.connections.budget = "connections", BackendConnections(opts.MaxOpenFiles)
 	in.memory.loggedAt, in.connections.loggedAt = -logInterval, -logInterval
 	return in
 }
@@ -93,8 +94,15 @@
 }
 
 // BackendConnections returns the number of connections to backend servers that a process with a
-// maximum number of descriptors may keep open.
-func BackendConnections(maxOpenFiles int) int64 { return connectionBudget(maxOpenFiles) }
+// maximum number of descriptors may keep open, which is also that of connections of callers. The
+// limit of the operating system prevails if it is lower.
+func BackendConnections(maxOpenFiles int) int64 {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil && maxOpenFiles > 0 && limit.Cur < uint64(maxOpenFiles) {
+		maxOpenFiles = int(limit.Cur)
+	}
+	return connectionBudget(maxOpenFiles)
+}
 
 // connectionBudget returns the number of connections that callers may hold open.
 func connectionBudget(maxOpenFiles int) int64 {
