--- a/waxfleet/waxpool/budget.go
+++ b/waxfleet/waxpool/budget.go
@@ -22,5 +22,14 @@
 // exceeded reports whether more connections are open than the budget allows.
 func (b *Budget) exceeded() bool { return b.open.Load() > b.limit }
 
-// allowsSpare reports whether a spare connection may be opened.
-func (b *Budget) allowsSpare() bool { return b.open.Load() < b.limit/spareShare }
+// allowsSpares reports whether spare connections are kept.
+func (b *Budget) allowsSpares() bool { return b.open.Load() < b.limit/spareShare }
+
+// addSpare adds a spare connection, unless too many are open for one.
+func (b *Budget) addSpare() bool {
+	if b.open.Add(1) <= b.limit/spareShare {
+		return true
+	}
+	b.open.Add(-1)
+	return false
+}
--- a/waxfleet/waxpool/pool.go
+++ b/waxfleet/waxpool/pool.go
@@ -104,9 +104,8 @@
 			return nil, err
 		}
 	}
-	if p.lacksSpare() {
-		// A request does not need the connection.
-		_ = p.Probe(ctx)
+	if p.lacksSpare() && p.budget.addSpare() {
+		p.openSpare(ctx)
 	}
 	return c, nil
 }
@@ -121,13 +120,15 @@
 
 // keepsSpares reports whether an idle connection is kept for each request. The caller holds the
 // lock.
-func (p *Pool) keepsSpares() bool { return p.clock.Now() < p.spareUntil }
+func (p *Pool) keepsSpares() bool {
+	return p.clock.Now() < p.spareUntil && p.budget.allowsSpares()
+}
 
 // lacksSpare reports whether there are fewer idle connections than connections in use.
 func (p *Pool) lacksSpare() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.keepsSpares() || p.openCount >= p.limit || !p.budget.allowsSpare() {
+	if !p.keepsSpares() || p.openCount >= p.limit {
 		return false
 	}
 	now, fresh := p.clock.Now(), 0
@@ -142,6 +143,12 @@
 // inUse returns the number of connections in use. The caller holds the lock.
 func (p *Pool) inUse() int { return p.openCount - len(p.idle) }
 
+// openSpare opens a connection that is in the budget. A request does not need it.
+func (p *Pool) openSpare(ctx context.Context) {
+	_ = p.Probe(ctx)
+	p.budget.add(-1) // open has counted the connection, too
+}
+
 // Probe opens a new connection and keeps it for the next request.
 //
 // Errors: like Get.
