waxintake: refuse requests that wait on evicted connections

The connection was evicted as idle: its request had arrived, but had not been read yet while the process was busy.

Change: before an evicted connection without a request is closed, it is read once more. If a byte of a request is there, the caller gets 503 with Retry-After.

TestRequestOnEvictedConnection tells both cases apart.

--- a/waxfleet/waxintake/conn.go
+++ b/waxfleet/waxintake/conn.go
@@ -43,6 +43,8 @@
 	// response.
 	lingerTimeout = 500 * time.Millisecond
 	lingerBytes   = 1 << 20
+	// lastReadTimeout is the time to read from an evicted connection whether a request waits.
+	lastReadTimeout = time.Millisecond
 	// refusalTimeout bounds the time to write a refusal.
 	refusalTimeout = time.Second
 	// minRetryAfter and maxRetryAfter bound the Retry-After delay of refusals.
@@ -412,16 +414,31 @@
 	_ = c.fail(cause)
 	c.mu.Lock()
 	phase, failure := c.phase, c.failure
+	c.mu.Unlock()
+	if phase == PhaseIdle && c.requestWaits() {
+		phase = PhaseHeader
+	}
 	if phase == PhaseHeader {
+		c.mu.Lock()
 		c.phase = PhaseClosing
+		c.mu.Unlock()
 	}
-	c.mu.Unlock()
 	if phase == PhaseHeader && failure != nil {
 		writeRefusal(c.TCPConn, failure)
 	}
 	return os.ErrDeadlineExceeded
 }
 
+// requestWaits reports whether bytes of a request have arrived on an evicted connection.
+func (c *Conn) requestWaits() bool {
+	if c.TCPConn.SetReadDeadline(time.Now().Add(lastReadTimeout)) != nil {
+		return false
+	}
+	var first [1]byte
+	n, _ := c.TCPConn.Read(first[:])
+	return n > 0
+}
+
 // fail records and returns the reason for which the current request is not read on.
 func (c *Conn) fail(cause error) error {
 	var e *waxfleet.Error
--- a/waxfleet/waxintake/server_test.go
+++ b/waxfleet/waxintake/server_test.go
@@ -300,6 +300,35 @@
 	is.Equal(resp.status, http.StatusOK)
 }
 
+// TestRequestOnEvictedConnection guards against closing a connection without a response when
+// its request has arrived and was not read yet.
+func TestRequestOnEvictedConnection(t *testing.T) {
+	is := is.New(t)
+	in := New(Options{Clock: waxfleet.NewClock(), Log: slog.New(slog.DiscardHandler)})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	for _, sent := range []string{"GET / HTTP/1.1\r\n", ""} {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		is.NoErr(err)
+		is.NoErr(conn.SetDeadline(time.Now().Add(testTimeout)))
+		accepted, err := l.Accept()
+		is.NoErr(err)
+		c := in.open(accepted.(*net.TCPConn))
+		_, err = io.WriteString(conn, sent)
+		is.NoErr(err)
+		is.True(c.evict())
+		n, err := c.Read(make([]byte, 100))
+		is.Equal(n, 0)
+		is.True(err != nil)
+		go func() { _ = c.Close() }()
+		raw, err := io.ReadAll(conn)
+		is.NoErr(err)
+		is.Equal(strings.HasPrefix(string(raw), "HTTP/1.1 503 "), sent != "")
+		is.NoErr(conn.Close())
+	}
+}
+
 // TestConnectionsInUse guards against cutting off requests that are being answered: a new
 // connection is refused instead.
 func TestConnectionsInUse(t *testing.T) {
