waxsoak: replace a fleet of the version in production under load

An upgrade runs two builds side by side, which no test did.

TestUpgrade builds the program of the version in production out of the repository's history, starts a fleet of it, and replaces it by this build: one instance after the other, in two failure domains at once, stopped half way, and rolled back from half way and from the end. The soak's faults, an evacuation and two software versions of servers go beside it, and callers take up streams at other instances. It checks the promises of the soak, that no server of an evacuated failure domain gets requests, and that a stream stays with one software version. Without the history it fails ("a shallow clone?"; tried).

Callers of this test make no new connection to a process that has not been ready since its start, as the platform's page on ingress says. The callers of the soak are unchanged.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	./waxload/waxembed ./waxload/waxexperiment ./waxload/waxlatency ./waxrouter
 LIGHT_PACKAGES = $(filter-out $(FLEET_PACKAGES:./%=waxwingdrift.org/%),$(shell go list $(PACKAGES)))
 
-.PHONY: known-red build test race fuzz soak breaking lint format format-check generate tools tidy run fleet platform bench clean
+.PHONY: known-red build test race fuzz soak upgrade breaking lint format format-check generate tools tidy run fleet platform bench clean
 
 build:
 	@mkdir -p bin
@@ -84,6 +84,12 @@
 	@mkdir -p out/soak
 	WAXSOAK_LOGS=$(CURDIR)/out/soak go test ./platform/waxsoak -count=1 -timeout 60m -run '^TestSoak$$' -parallel 5 -soak-seeds $(SEEDS) -soak-first $(FIRST)
 
+# Replaces a fleet of the version in production by this one, under load and faults; the
+# repository's history has to hold that version.
+upgrade:
+	@mkdir -p out/soak
+	WAXSOAK_LOGS=$(CURDIR)/out/soak go test ./platform/waxsoak -count=1 -timeout 90m -run '^TestUpgrade$$' -parallel 3 -upgrade-seeds $(SEEDS) -upgrade-first $(FIRST) -v
+
 # Compares the messages between instances with those of the version in production, whose
 # descriptors are in waxfleet/waxwire/testdata. TestMessagesOfProduction does so without buf.
 breaking:
