waxpeer: announce what an instance does for others

A mechanism that needs another instance's help has to know whether that one, which may run an earlier version, gives it. Origins of streams had a field of their own for this.

Datagrams carry a list of abilities in the place of that field, which no version in production knows: 19, where a list of one ability reads as the former `true`. `waxctl inspect instances` shows abilities and the revision that the program was built from; both are empty for versions that don't tell them, and BUILD also for programs that were built without that information.

--- a/waxctl/inspect.go
+++ b/waxctl/inspect.go
@@ -38,9 +38,13 @@
 	ConfigVersion uint64 `json:"config-version"`
 	// ProofAgeMs is the time in ms since the instance last confirmed that its API keys
 	// are current, or -1 if it never did.
-	ProofAgeMs int64    `json:"proof-age-ms"`
-	Source     string   `json:"source"`
-	Evacuated  []string `json:"evacuated"`
+	ProofAgeMs int64 `json:"proof-age-ms"`
+	// Build is the version of the program, and Abilities what it does for other instances.
+	// Both are empty for instances of versions that do not tell.
+	Build     string   `json:"build"`
+	Abilities []string `json:"abilities"`
+	Source    string   `json:"source"`
+	Evacuated []string `json:"evacuated"`
 }
 
 // serverViewRow combines the views that all instances have of one backend server.
@@ -147,16 +151,26 @@
 		if r.Answers {
 			r.Source = cmp.Or(s.GetFollowed(), "store")
 		}
+		r.Build, r.Abilities = s.GetBuild(), abilityNames(s.GetAbilities())
 		rows = append(rows, r)
 	}
 	return rows
 }
 
+// abilityNames returns abilities in kebab case.
+func abilityNames(abilities []waxwire.Ability) []string {
+	names := make([]string, 0, len(abilities))
+	for _, a := range abilities {
+		names = append(names, strings.ReplaceAll(strings.ToLower(strings.TrimPrefix(a.String(), "ABILITY_")), "_", "-"))
+	}
+	return names
+}
+
 func writeStates(w io.Writer, rows []stateRow) {
-	writeRow(w, "INSTANCE", "DOMAIN", "ADDRESS", "ANSWERS", "READY", "REASON", "CONFIG", "PROOF AGE MS", "SOURCE", "EVACUATED")
+	writeRow(w, "INSTANCE", "DOMAIN", "ADDRESS", "ANSWERS", "READY", "REASON", "CONFIG", "PROOF AGE MS", "SOURCE", "EVACUATED", "BUILD", "ABILITIES")
 	for _, r := range rows {
 		writeRow(w, r.Instance, orDash(r.FailureDomain), r.Address, r.Answers, r.Ready, orDash(r.Reason), r.ConfigVersion, r.ProofAgeMs,
-			orDash(r.Source), orDash(strings.Join(r.Evacuated, ",")))
+			orDash(r.Source), orDash(strings.Join(r.Evacuated, ",")), orDash(r.Build), orDash(strings.Join(r.Abilities, ",")))
 	}
 }
 
--- a/waxfleet/waxfront/inspect.go
+++ b/waxfleet/waxfront/inspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 
 	"connectrpc.com/connect"
 
@@ -27,6 +28,8 @@
 		ProofAgeMs:    -1,
 		Followed:      inst.replicas.selector.Followed(),
 		Evacuated:     evacuated,
+		Build:         buildVersion(),
+		Abilities:     waxpeer.Abilities,
 	}
 	if table := inst.table.Load(); table != nil {
 		out.ConfigVersion = table.Version()
@@ -53,3 +56,28 @@
 	}
 	return connect.NewResponse(out), nil
 }
+
+// maxRevisionLength is the length to which the revision of the build is cut.
+const maxRevisionLength = 12
+
+// buildVersion returns the revision that the program was built from, with a plus sign if the
+// sources were changed; empty if the build does not know it.
+func buildVersion() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return ""
+	}
+	settings := map[string]string{}
+	for _, s := range info.Settings {
+		settings[s.Key] = s.Value
+	}
+	revision := settings["vcs.revision"]
+	if revision == "" {
+		return ""
+	}
+	revision = revision[:min(maxRevisionLength, len(revision))]
+	if settings["vcs.modified"] == "true" {
+		revision += "+"
+	}
+	return revision
+}
--- a/waxfleet/waxpeer/exchanger.go
+++ b/waxfleet/waxpeer/exchanger.go
@@ -70,6 +70,9 @@
 	snapshotSenders = 2
 )
 
+// Abilities holds what this version does for other instances.
+var Abilities = []waxwire.Ability{waxwire.Ability_ABILITY_RECORDS_ORIGINS}
+
 // Options configures an Exchanger.
 type Options struct {
 	Self  Peer
@@ -505,7 +508,7 @@
 		StoreAnswers:  e.opts.StoreReachable(),
 
 		UnreachableServices: e.opts.UnreachableServices(),
-		RecordsOrigins:      true,
+		Abilities:           Abilities,
 	}
 	if sequenced {
 		e.mu.Lock()
--- a/waxfleet/waxpeer/loads.go
+++ b/waxfleet/waxpeer/loads.go
@@ -63,8 +63,8 @@
 	// unreachableServices holds the services from all of whose servers the instance is cut
 	// off.
 	unreachableServices []uint64
-	// recordsOrigins is true if the instance writes origins to the store when asked to.
-	recordsOrigins bool
+	// abilities holds what the instance does for others.
+	abilities []waxwire.Ability
 }
 
 // Loads holds the load of all other instances: one report for each instance of the own
@@ -110,7 +110,7 @@
 		storeReachable: d.GetStoreAnswers(),
 
 		unreachableServices: d.GetUnreachableServices(),
-		recordsOrigins:      d.GetRecordsOrigins(),
+		abilities:           d.GetAbilities(),
 	}
 	r.asOf = now
 	r.byServer = decodeCounts(d.GetOwn())
@@ -293,7 +293,7 @@
 // reaches the store and writes origins to it.
 func (l *Loads) recordsOrigins(name string, timeout waxfleet.Millis) bool {
 	r, ok := l.recentReport(name, timeout)
-	return ok && r.storeReachable && r.recordsOrigins
+	return ok && r.storeReachable && slices.Contains(r.abilities, waxwire.Ability_ABILITY_RECORDS_ORIGINS)
 }
 
 // reachesService reports whether the named instance was heard from within the timeout and
