waxreplica: know how old a copy is against the store

Each knew only what its own source had last said, so nobody could tell a recent copy from an old one.

Each copy now has an age against the store along its whole chain of sources: the answer to a watch dates it, followers take over its age, and instances tell the ages of their copies in datagrams. The age takes sources at their word and proves nothing: keys are accepted on the strict age alone, which is unchanged (TestAge). Ruled out: moving the strict age by datagrams, because a paused process that reads a datagram late would renew a permission that has run out.

The age is served as metric copy_age, shown by `waxctl inspect instances` (SERVERS AGE MS), and logged when it passes half of the bound (`copy is old`) and when it is below again. Nothing is decided by it yet. A pause after a change now counts as part of the next wait, so that a copy is confirmed once in a wait: else it looked up to 0.3 s older after each change (TestPauseIsPartOfWait, which fails without that).

--- a/waxctl/inspect.go
+++ b/waxctl/inspect.go
@@ -39,6 +39,9 @@
 	// ProofAgeMs is the time in ms since the instance last confirmed that its API keys
 	// are current, or -1 if it never did.
 	ProofAgeMs int64 `json:"proof-age-ms"`
+	// ServersAgeMs is the age in ms of the instance's list of backend servers against the
+	// store, or -1 if it has none or does not tell.
+	ServersAgeMs int64 `json:"servers-age-ms"`
 	// Build is the version of the program, and Abilities what it does for other instances.
 	// Both are empty for instances of versions that do not tell.
 	Build     string   `json:"build"`
@@ -146,11 +149,15 @@
 			Reason:        s.GetReason(),
 			ConfigVersion: s.GetConfigVersion(),
 			ProofAgeMs:    s.GetProofAgeMs(),
+			ServersAgeMs:  -1,
 			Evacuated:     s.GetEvacuated(),
 		}
 		if r.Answers {
 			r.Source = cmp.Or(s.GetFollowed(), "store")
 		}
+		if s != nil && s.ServersAgeMs != nil {
+			r.ServersAgeMs = s.GetServersAgeMs()
+		}
 		r.Build, r.Abilities = s.GetBuild(), abilityNames(s.GetAbilities())
 		rows = append(rows, r)
 	}
@@ -167,9 +174,9 @@
 }
 
 func writeStates(w io.Writer, rows []stateRow) {
-	writeRow(w, "INSTANCE", "DOMAIN", "ADDRESS", "ANSWERS", "READY", "REASON", "CONFIG", "PROOF AGE MS", "SOURCE", "EVACUATED", "BUILD", "ABILITIES")
+	writeRow(w, "INSTANCE", "DOMAIN", "ADDRESS", "ANSWERS", "READY", "REASON", "CONFIG", "PROOF AGE MS", "SERVERS AGE MS", "SOURCE", "EVACUATED", "BUILD", "ABILITIES")
 	for _, r := range rows {
-		writeRow(w, r.Instance, orDash(r.FailureDomain), r.Address, r.Answers, r.Ready, orDash(r.Reason), r.ConfigVersion, r.ProofAgeMs,
+		writeRow(w, r.Instance, orDash(r.FailureDomain), r.Address, r.Answers, r.Ready, orDash(r.Reason), r.ConfigVersion, r.ProofAgeMs, r.ServersAgeMs,
 			orDash(r.Source), orDash(strings.Join(r.Evacuated, ",")), orDash(r.Build), orDash(strings.Join(r.Abilities, ",")))
 	}
 }
--- a/waxctl/inspect_test.go
+++ b/waxctl/inspect_test.go
@@ -10,6 +10,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	waxadapter "waxwingdrift.org/platform"
 	"waxwingdrift.org/platform/waxstub"
@@ -77,6 +78,7 @@
 		Reason:        "serving",
 		ConfigVersion: 7,
 		ProofAgeMs:    120,
+		ServersAgeMs:  proto.Int64(340),
 		Build:         "0123456789ab",
 		Abilities:     []waxwire.Ability{waxwire.Ability_ABILITY_TELLS_AGES, waxwire.Ability_ABILITY_GIVES_SNAPSHOTS},
 		Evacuated:     []string{"b"},
@@ -97,9 +99,9 @@
 	is.True(strings.Contains(errText, "instance r3 at"))
 	lines := strings.Split(strings.TrimSpace(text), "\n")
 	is.Equal(len(lines), 4)
-	is.Equal(strings.Fields(lines[1])[3:], strings.Fields("true true serving 7 120 store b 0123456789ab tells-ages,gives-snapshots"))
-	is.Equal(strings.Fields(lines[2])[3:], strings.Fields("true false stopping 6 -1 r1 - - -"))
-	is.Equal(strings.Fields(lines[3])[3:], strings.Fields("false false - 0 0 - - - -"))
+	is.Equal(strings.Fields(lines[1])[3:], strings.Fields("true true serving 7 120 340 store b 0123456789ab tells-ages,gives-snapshots"))
+	is.Equal(strings.Fields(lines[2])[3:], strings.Fields("true false stopping 6 -1 -1 r1 - - -"))
+	is.Equal(strings.Fields(lines[3])[3:], strings.Fields("false false - 0 0 -1 - - - -"))
 
 	text, _, code = call("servers", "--store", store.Address())
 	is.Equal(code, 0)
--- a/waxfleet/feed.go
+++ b/waxfleet/feed.go
@@ -34,6 +34,10 @@
 	// Lag is the maximum age of this state when the call was sent. It is negative when
 	// the store is known to have had the state only after that.
 	Lag Millis
+	// SeenLag is like Lag, but takes sources at their word: a watch is answered when a change
+	// comes or its wait is over, and datagrams arrive at once. It shows whether a copy is kept
+	// up to date; it proves nothing.
+	SeenLag Millis
 }
 
 // With returns the batch of all records b with the changes that a watch of its revision
@@ -43,7 +47,7 @@
 		return changes
 	}
 	byName := make(map[string]int, len(b.Records))
-	merged := Batch[T]{Full: true, Revision: changes.Revision, Lag: b.Lag, Records: slices.Clone(b.Records)}
+	merged := Batch[T]{Full: true, Revision: changes.Revision, Lag: b.Lag, SeenLag: b.SeenLag, Records: slices.Clone(b.Records)}
 	for i, r := range merged.Records {
 		byName[r.Name] = i
 	}
--- a/waxfleet/waxfollow/follower.go
+++ b/waxfleet/waxfollow/follower.go
@@ -114,17 +114,20 @@
 	retrying := false
 	peerFailures := 0
 	var revision waxfleet.Revision
+	var pause waxfleet.Millis
 	listed := false
 	for ctx.Err() == nil {
 		source := f.opts.Source()
+		// Records are confirmed once in a wait, including the pause before the call.
+		source.Wait, pause = max(source.Wait-pause, 0), 0
 		started := f.opts.Clock.Now()
 		next, err := f.callOnce(ctx, source, listed, revision)
 		switch {
 		case err == nil:
 			retrying, peerFailures = false, 0
 			listed, revision = true, next
-			if left := f.opts.MinInterval - (f.opts.Clock.Now() - started); left > 0 {
-				_ = f.opts.Clock.Sleep(ctx, left)
+			if pause = max(f.opts.MinInterval-(f.opts.Clock.Now()-started), 0); pause > 0 {
+				_ = f.opts.Clock.Sleep(ctx, pause)
 			}
 		case ctx.Err() != nil || f.takeInterrupt():
 		case waxfleet.CodeOf(err) == waxfleet.CodeHistoryGone:
@@ -203,6 +206,10 @@
 	if err != nil {
 		return 0, err
 	}
+	if listed && source.Peer == "" {
+		// The store has answered when a change came, or when the wait was over.
+		b.SeenLag = b.Lag - min(f.opts.Clock.Now()-sent, source.Wait)
+	}
 	if source.MaxLag > 0 && b.Lag > source.MaxLag {
 		return 0, waxfleet.NewError(waxfleet.CodePeerUnreachable, "replica is %d ms behind the store", b.Lag)
 	}
--- a/waxfleet/waxfollow/follower_test.go
+++ b/waxfleet/waxfollow/follower_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
 
 	"waxwingdrift.org/waxfleet"
 )
@@ -119,3 +120,41 @@
 		return tr.text.String()
 	})
 }
+
+// waitFeed records the waits of watches, and answers them at once.
+type waitFeed struct {
+	scriptFeed
+	waits chan waxfleet.Millis
+}
+
+// List implements waxfleet.Feed.
+func (f *waitFeed) List(context.Context) (waxfleet.Batch[string], error) {
+	return waxfleet.Batch[string]{Full: true, Revision: 1}, nil
+}
+
+// Watch implements waxfleet.Feed.
+func (f *waitFeed) Watch(ctx context.Context, after waxfleet.Revision, wait waxfleet.Millis) (waxfleet.Batch[string], error) {
+	select {
+	case f.waits <- wait:
+		return waxfleet.Batch[string]{Revision: after + 1}, nil
+	case <-ctx.Done():
+		return waxfleet.Batch[string]{}, ctx.Err()
+	}
+}
+
+// TestPauseIsPartOfWait guards against a copy that is confirmed later than others expect,
+// because a change came early and a pause follows it.
+func TestPauseIsPartOfWait(t *testing.T) {
+	is := is.New(t)
+	const wait, pause waxfleet.Millis = 500, 100
+	feed := &waitFeed{waits: make(chan waxfleet.Millis)}
+	New(t.Context(), Options[string]{
+		Name: "texts", Clock: waxfleet.NewClock(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)), MinInterval: pause,
+		Source: func() Source[string] { return Source[string]{Feed: feed, Wait: wait} },
+		Apply:  func(waxfleet.Batch[string], waxfleet.Millis) {},
+	})
+	for range 3 {
+		got := <-feed.waits
+		is.True(got >= wait-pause && got < wait)
+	}
+}
--- a/waxfleet/waxfront/follow.go
+++ b/waxfleet/waxfront/follow.go
@@ -66,6 +66,8 @@
 	byFeed   map[string]*waxreplica.Replica
 	selector *waxreplica.Selector
 	clients  *waxreplica.Clients
+	// loggedOld holds the feeds whose copies were logged as old. Only monitorReplicas uses it.
+	loggedOld map[string]bool
 
 	mu              sync.Mutex
 	interrupts      map[string]func()
@@ -79,6 +81,7 @@
 		clients:         waxreplica.NewClients(),
 		interrupts:      map[string]func(){},
 		storeLostByFeed: map[string]bool{},
+		loggedOld:       map[string]bool{},
 	}
 	for _, feed := range feedOrder {
 		s.byFeed[feed] = waxreplica.New(clock, s.selector.Serves)
@@ -156,6 +159,16 @@
 	}
 }
 
+// ages returns the age of the copy of each feed against the store, in the order of
+// feedOrder; -1 for one that is not loaded.
+func (s *replicaSet) ages() []waxfleet.Millis {
+	out := make([]waxfleet.Millis, len(feedOrder))
+	for i, feed := range feedOrder {
+		out[i] = s.byFeed[feed].Age()
+	}
+	return out
+}
+
 // changeRevisions returns the revision of the latest change of each feed, in the order of
 // feedOrder.
 func (s *replicaSet) changeRevisions() []waxfleet.Revision {
@@ -264,6 +277,44 @@
 	return "", ""
 }
 
+// noteAges takes over what the followed instance tells of the ages of its copies, and reports
+// the ages of the own ones.
+func (inst *Instance) noteAges() {
+	now := inst.opts.Clock.Now()
+	for i, state := range inst.loads.Feeds(inst.replicas.selector.Followed(), len(feedOrder)) {
+		feed := feedOrder[i]
+		if state.Age >= 0 {
+			inst.replicas.byFeed[feed].Seen(state.Revision, now-state.Age)
+		}
+		if feed == FeedPeers {
+			continue
+		}
+		age := inst.replicas.byFeed[feed].Age()
+		inst.metrics.RecordCopyAge(feed, age)
+		inst.logAge(feed, age)
+	}
+}
+
+// logAge logs a copy whose age passes half of the time within which changes have to be in
+// force, and its return below.
+func (inst *Instance) logAge(feed string, age waxfleet.Millis) {
+	bounds := inst.bounds.Load()
+	bound := bounds.MaxConfigDelay
+	if feed == FeedServers {
+		bound = bounds.MaxDrainDelay
+	}
+	old := bound > 0 && age > bound/2
+	if feed == FeedEvacuations || old == inst.replicas.loggedOld[feed] {
+		return
+	}
+	inst.replicas.loggedOld[feed] = old
+	if old {
+		inst.log.Warn("copy is old", "feed", feed, "age-ms", int64(age), "bound-ms", int64(bound), "peer", inst.replicas.selector.Followed())
+		return
+	}
+	inst.log.Info("copy is recent again", "feed", feed, "age-ms", int64(age))
+}
+
 // monitorReplicas chooses another source when the followed instance is unreachable or has
 // lost the store, and when other instances have seen changes that are missing here. It
 // calls the store again when the store responds to other instances.
@@ -280,6 +331,7 @@
 			inst.log.Warn("followed instance is unreachable", "peer", peer)
 			inst.replicas.interruptAll()
 		}
+		inst.noteAges()
 		if !inst.replicas.storeReachable() && inst.loads.StoreReachable() && now-lastRecovery >= recoveryInterval {
 			lastRecovery = now
 			inst.replicas.selector.StoreRecovered()
--- a/waxfleet/waxfront/inspect.go
+++ b/waxfleet/waxfront/inspect.go
@@ -5,6 +5,7 @@
 	"runtime/debug"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	"waxwingdrift.org/waxfleet/waxpeer"
 	"waxwingdrift.org/waxfleet/waxwire"
@@ -30,6 +31,7 @@
 		Evacuated:     evacuated,
 		Build:         buildVersion(),
 		Abilities:     waxpeer.Abilities,
+		ServersAgeMs:  proto.Int64(int64(inst.replicas.byFeed[FeedServers].Age())),
 	}
 	if table := inst.table.Load(); table != nil {
 		out.ConfigVersion = table.Version()
--- a/waxfleet/waxfront/instance.go
+++ b/waxfleet/waxfront/instance.go
@@ -211,6 +211,7 @@
 		Origins:             inst.origins,
 		RecordOrigins:       inst.journal.Add,
 		Revisions:           inst.replicas.changeRevisions,
+		Ages:                inst.replicas.ages,
 		ConfigVersion:       inst.configVersion,
 		UnreachableServices: inst.servers.UnreachableServices,
 		StoreReachable:      func() bool { return inst.replicas.storeReachable() && inst.table.Load() != nil },
--- a/waxfleet/waxmetric/metric.go
+++ b/waxfleet/waxmetric/metric.go
@@ -121,3 +121,11 @@
 
 // CountOriginWrite counts a write of origins of streams to the store.
 func (m *Metrics) CountOriginWrite() { m.scope.Counter("origin_writes").Inc(1) }
+
+// RecordCopyAge records the age of the copy of a feed against the store; -1 for one that is
+// not loaded.
+func (m *Metrics) RecordCopyAge(feed string, age waxfleet.Millis) {
+	if age >= 0 {
+		m.scope.Tagged(map[string]string{"feed": feed}).Histogram("copy_age", latencyBuckets).RecordDuration(age.Duration())
+	}
+}
--- a/waxfleet/waxpeer/exchanger.go
+++ b/waxfleet/waxpeer/exchanger.go
@@ -71,7 +71,10 @@
 )
 
 // Abilities holds what this version does for other instances.
-var Abilities = []waxwire.Ability{waxwire.Ability_ABILITY_RECORDS_ORIGINS}
+var Abilities = []waxwire.Ability{
+	waxwire.Ability_ABILITY_RECORDS_ORIGINS,
+	waxwire.Ability_ABILITY_TELLS_AGES,
+}
 
 // Options configures an Exchanger.
 type Options struct {
@@ -82,6 +85,9 @@
 	Counts func() map[uint32]ServerLoad
 	// Revisions returns the revision of the latest change seen in each feed.
 	Revisions func() []waxfleet.Revision
+	// Ages returns the age of the copy of each feed against the store; -1 for one that is not
+	// loaded.
+	Ages func() []waxfleet.Millis
 	// ConfigVersion returns the version of the configuration in force; 0 before the first.
 	ConfigVersion func() uint64
 	// StoreReachable reports whether the store responds to this instance.
@@ -503,6 +509,7 @@
 	d := &waxwire.LoadDatagram{
 		Instance:      NameHash(e.opts.Self.Name),
 		Incarnation:   e.incarnation,
+		AgesMs:        encodeAges(e.opts.Ages()),
 		Revisions:     encodeRevisions(e.opts.Revisions()),
 		ConfigVersion: e.opts.ConfigVersion(),
 		StoreAnswers:  e.opts.StoreReachable(),
--- a/waxfleet/waxpeer/loads.go
+++ b/waxfleet/waxpeer/loads.go
@@ -56,6 +56,8 @@
 	incarnation int64
 	sequence    uint64
 	revisions   []waxfleet.Revision
+	// ages holds the ages of the copies of the feeds; -1 for those that are not known.
+	ages []waxfleet.Millis
 	// configVersion is the version of the configuration in force at the instance.
 	configVersion uint64
 	// storeReachable is true when the store responded to the instance.
@@ -106,6 +108,7 @@
 		incarnation:    d.GetIncarnation(),
 		sequence:       d.GetSequence(),
 		revisions:      decodeRevisions(d.GetRevisions()),
+		ages:           decodeAges(d.GetAgesMs()),
 		configVersion:  d.GetConfigVersion(),
 		storeReachable: d.GetStoreAnswers(),
 
@@ -144,6 +147,23 @@
 	return out
 }
 
+// decodeAges and encodeAges convert the ages of a datagram.
+func decodeAges(raw []int64) []waxfleet.Millis {
+	out := make([]waxfleet.Millis, len(raw))
+	for i, age := range raw {
+		out[i] = waxfleet.Millis(age)
+	}
+	return out
+}
+
+func encodeAges(ages []waxfleet.Millis) []int64 {
+	out := make([]int64, len(ages))
+	for i, age := range ages {
+		out[i] = int64(age)
+	}
+	return out
+}
+
 // decodeCounts returns the load by backend server, keyed by ServerHash.
 func decodeCounts(c *waxwire.Counts) map[uint32]ServerLoad {
 	out := make(map[uint32]ServerLoad, len(c.GetServers()))
@@ -289,6 +309,32 @@
 	return ok && r.storeReachable
 }
 
+// FeedState is what an instance has told of its copy of a feed.
+type FeedState struct {
+	// Age is the age of the copy against the store, up to now; -1 if it is not known.
+	Age waxfleet.Millis
+	// Revision is the revision of the latest change in the copy.
+	Revision waxfleet.Revision
+}
+
+// Feeds returns what the named instance, if it was heard from within peerTimeout, has told of
+// its copies of the first n feeds.
+func (l *Loads) Feeds(name string, n int) []FeedState {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, ok := l.reports[NameHash(name)]
+	since := l.clock.Now() - r.asOf
+	known := ok && since < peerTimeout
+	out := make([]FeedState, n)
+	for i := range out {
+		out[i].Age = -1
+		if known && i < len(r.ages) && i < len(r.revisions) && r.ages[i] >= 0 {
+			out[i] = FeedState{Age: r.ages[i] + since, Revision: r.revisions[i]}
+		}
+	}
+	return out
+}
+
 // recordsOrigins reports whether the named instance was heard from within the timeout,
 // reaches the store and writes origins to it.
 func (l *Loads) recordsOrigins(name string, timeout waxfleet.Millis) bool {
--- a/waxfleet/waxpeer/peer_test.go
+++ b/waxfleet/waxpeer/peer_test.go
@@ -115,6 +115,7 @@
 			Counts:              func() map[uint32]ServerLoad { return map[uint32]ServerLoad{ServerHash("e1"): {InFlight: inFlight}} },
 			Revisions:           func() []waxfleet.Revision { return []waxfleet.Revision{waxfleet.Revision(inFlight)} },
 			ConfigVersion:       func() uint64 { return uint64(inFlight) },
+			Ages:                func() []waxfleet.Millis { return []waxfleet.Millis{250} },
 			UnreachableServices: func() []uint64 { return nil },
 			StoreReachable:      func() bool { return name == "r1" },
 			CacheIndex:          cacheIndex,
@@ -149,6 +150,11 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 	is.True(!first.StoreReachable()) // the store does not respond to the other instance
+	told := second.Feeds("r1", 2)
+	is.True(told[0].Age >= 250 && told[0].Age < 250+peerTimeout) // grows from what was told
+	is.Equal(told[0].Revision, waxfleet.Revision(2))
+	is.Equal(told[1].Age, waxfleet.Millis(-1)) // a feed of which it has not told
+	is.Equal(second.Feeds("unknown", 1)[0].Age, waxfleet.Millis(-1))
 }
 
 // TestManyNewEntries guards against instances of a large fleet that learn of cached
@@ -173,6 +179,7 @@
 			Counts:              func() map[uint32]ServerLoad { return nil },
 			Revisions:           func() []waxfleet.Revision { return nil },
 			ConfigVersion:       func() uint64 { return 0 },
+			Ages:                func() []waxfleet.Millis { return []waxfleet.Millis{250} },
 			UnreachableServices: func() []uint64 { return nil },
 			StoreReachable:      func() bool { return true },
 			CacheIndex:          indexes[self.Name], Crashes: ledgers[self.Name], Limits: waxlimit.New(clock), Origins: waxorigin.NewStreams(clock),
--- a/waxfleet/waxreplica/replica.go
+++ b/waxfleet/waxreplica/replica.go
@@ -33,7 +33,9 @@
 	// lastChangeRevision is the revision of the latest change.
 	lastChangeRevision waxfleet.Revision
 	// asOf is the latest clock time at which the store is known to have had this state.
-	asOf      waxfleet.Millis
+	asOf waxfleet.Millis
+	// seenAt is the same, taking the sources at their word. It proves nothing.
+	seenAt    waxfleet.Millis
 	loaded    bool
 	storeLost bool
 	changed   chan struct{}
@@ -85,12 +87,35 @@
 		r.changes = slices.Clone(r.changes[drop:])
 	}
 	r.revision, r.asOf, r.loaded = max(r.revision, b.Revision), max(r.asOf, asOf), true
+	r.seenAt = max(r.seenAt, asOf+b.Lag-b.SeenLag)
 	if len(b.Records) > 0 || b.Full {
 		close(r.changed)
 		r.changed = make(chan struct{})
 	}
 }
 
+// Age returns the age of the copy against the store, taking the sources at their word; -1
+// before the first list.
+func (r *Replica) Age() waxfleet.Millis {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.loaded {
+		return -1
+	}
+	return r.clock.Now() - r.seenAt
+}
+
+// Seen records that, by the word of a source, the store had no change after a revision at a
+// time. It has no effect on a copy that lacks the change of that revision, and on what the
+// copy proves.
+func (r *Replica) Seen(revision waxfleet.Revision, at waxfleet.Millis) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.loaded && r.lastChangeRevision >= revision {
+		r.seenAt = max(r.seenAt, at)
+	}
+}
+
 // SetStoreLost records whether this instance has lost the store. While it has, the
 // replica refuses followers, so that they switch to another source.
 func (r *Replica) SetStoreLost(lost bool) {
@@ -138,7 +163,10 @@
 	if !r.loaded {
 		return nil
 	}
-	out := &waxwire.FollowReply{Revision: uint64(max(r.revision, after)), AgeMs: int64(r.clock.Now() - r.asOf), Eras: true}
+	out := &waxwire.FollowReply{
+		Revision: uint64(max(r.revision, after)), AgeMs: int64(r.clock.Now() - r.asOf), Eras: true,
+		SeenAgeMs: int64(r.clock.Now() - r.seenAt), Seen: true,
+	}
 	if after == 0 || after < r.compactedTo {
 		out.Full, out.Revision = true, uint64(r.revision)
 		out.Records = slices.Collect(maps.Values(r.records))
--- a/waxfleet/waxreplica/replica_test.go
+++ b/waxfleet/waxreplica/replica_test.go
@@ -172,6 +172,36 @@
 	is.Equal(b.Lag, waxfleet.Millis(1_300))
 }
 
+// TestAge guards against a copy that looks recent along a chain of copies although the first one
+// is old, and against ages that count as a proof: they take sources at their word.
+func TestAge(t *testing.T) {
+	is := is.New(t)
+	clock := waxfleet.NewManualClock(10_000)
+	first := New(clock, always)
+	is.Equal(first.Age(), waxfleet.Millis(-1)) // nothing is loaded
+	b := fullBatch(map[string]string{"a": "1"}, 5)
+	b.SeenLag = -600 // the store answered at the end of a watch of 600 ms
+	Update(first, b, 10_000)
+	clock.Advance(1_000)
+	is.Equal(first.Age(), waxfleet.Millis(400))
+
+	copied, err := serveReplica(t, first).List(t.Context())
+	is.NoErr(err)
+	is.Equal(copied.SeenLag, waxfleet.Millis(400))
+	second := New(clock, always)
+	Update(second, copied, clock.Now()-copied.Lag)
+	clock.Advance(300)
+	is.Equal(second.Age(), waxfleet.Millis(700)) // against the store, not against the first copy
+
+	second.Seen(6, clock.Now())
+	is.Equal(second.Age(), waxfleet.Millis(700)) // the copy lacks that change
+	second.Seen(5, clock.Now()-200)
+	is.Equal(second.Age(), waxfleet.Millis(200))
+	copied, err = serveReplica(t, second).List(t.Context())
+	is.NoErr(err)
+	is.Equal(copied.Lag, waxfleet.Millis(1_300)) // what it proves is as old as before
+}
+
 // TestSelector guards against a fleet in which no instance watches the store, and
 // against an instance that keeps following a replica that failed.
 func TestSelector(t *testing.T) {
--- a/waxfleet/waxreplica/server.go
+++ b/waxfleet/waxreplica/server.go
@@ -134,6 +134,10 @@
 		// sent.
 		Lag: waxfleet.Millis(m.GetAgeMs() - m.GetWaitedMs()),
 	}
+	b.SeenLag = b.Lag
+	if m.GetSeen() {
+		b.SeenLag = waxfleet.Millis(m.GetSeenAgeMs() - m.GetWaitedMs())
+	}
 	for _, r := range m.GetRecords() {
 		if r.GetDeleted() {
 			b.Records = append(b.Records, waxfleet.Record[T]{Name: r.GetName(), Revision: waxfleet.Revision(r.GetRevision()), Deleted: true})
