waxfront: ask several sources at once when a copy may be too old

Cause: the store turns four instances away, and both watchers are cut off in the moment of the leave. Ruled out: shorter time-outs, which still add up, and more watchers, whose calls grow with the fleet.

Change: a source that is silent, or whose copy is older than one watch and one turn of datagrams, is left at once. The store and up to six instances are asked together, and the first recent answer counts. Copies that are no longer recent are not taken over: their owners have lost contact themselves. The list of servers is watched with a quarter of drain_ms, evacuations with 2 s (3 s), and two missed datagrams count as silence (three). While no source has a recent copy, the group keeps the sources that it has and asks each 2 s, so that a slow or absent store doesn't get the calls of all.

--- a/waxfleet/waxfollow/follower.go
+++ b/waxfleet/waxfollow/follower.go
@@ -36,6 +36,9 @@
 	Wait waxfleet.Millis
 	// MaxLag is the lag above which a replica counts as failed; 0 for no limit.
 	MaxLag waxfleet.Millis
+	// Winner is set if the feed asks several sources at once, and returns the one whose answer
+	// was taken, like Peer.
+	Winner func() string
 }
 
 // Options configures a Follower.
@@ -133,6 +136,8 @@
 		case waxfleet.CodeOf(err) == waxfleet.CodeHistoryGone:
 			f.opts.Log.Warn("store history discarded; listing again", "feed", f.opts.Name, "revision", revision)
 			listed, f.noStaleList = false, true
+		case source.Winner != nil:
+			f.opts.Log.Warn("no recent copy found", "feed", f.opts.Name, "error", err.Error())
 		case source.Peer != "":
 			f.opts.Log.Warn("failed to follow replica", "feed", f.opts.Name, "peer", source.Peer, "error", err.Error())
 			f.opts.PeerFailed(source.Peer, err)
@@ -206,14 +211,18 @@
 	if err != nil {
 		return 0, err
 	}
-	if listed && source.Peer == "" {
+	if listed && source.Peer == "" && source.Winner == nil {
 		// The store has answered when a change came, or when the wait was over.
 		b.SeenLag = b.Lag - min(f.opts.Clock.Now()-sent, source.Wait)
 	}
 	if source.MaxLag > 0 && b.Lag > source.MaxLag {
 		return 0, waxfleet.NewError(waxfleet.CodePeerUnreachable, "replica is %d ms behind the store", b.Lag)
 	}
-	f.noteStoreRecovered(source.Peer)
+	peer := source.Peer
+	if source.Winner != nil {
+		peer = source.Winner()
+	}
+	f.noteStoreRecovered(peer)
 	b.Restored = revision > 0 && b.Revision.Era() > revision.Era()
 	if b.Restored {
 		f.opts.Log.Warn("store restored from a copy", "feed", f.opts.Name, "revision", b.Revision, "previous-revision", revision)
@@ -225,7 +234,7 @@
 
 // list returns all records of the source.
 func (f *Follower[T]) list(ctx context.Context, source Source[T]) (waxfleet.Batch[T], error) {
-	if !f.opts.StaleList || f.noStaleList || source.Peer != "" {
+	if !f.opts.StaleList || f.noStaleList || source.Peer != "" || source.Winner != nil {
 		return source.Feed.List(ctx)
 	}
 	b, err := source.Feed.ListStale(ctx)
--- a/waxfleet/waxfront/follow.go
+++ b/waxfleet/waxfront/follow.go
@@ -1,14 +1,19 @@
 package waxfront
 
 import (
+	"cmp"
 	"context"
+	"math"
+	"slices"
 	"sync"
 
 	"waxwingdrift.org/waxfleet"
 	"waxwingdrift.org/waxfleet/waxfollow"
 	"waxwingdrift.org/waxfleet/waxpeer"
+	"waxwingdrift.org/waxfleet/waxplace"
 	"waxwingdrift.org/waxfleet/waxreplica"
 	"waxwingdrift.org/waxfleet/waxtable"
+	"waxwingdrift.org/waxfleet/waxwire"
 )
 
 // Names of the feeds that an instance follows. They are used between instances, in log
@@ -28,7 +33,21 @@
 // it bounds how long a broken connection hides a change. The deployment allows two to
 // five seconds.
 var feedMaxWaits = map[string]waxfleet.Millis{
-	FeedConfig: 600, FeedServers: 1_200, FeedEvacuations: 3_000, FeedPeers: 20_000,
+	FeedConfig: 600, FeedServers: 1_200, FeedEvacuations: 2_000, FeedPeers: 20_000,
+}
+
+// drainWaitShare is the part of the time for which a leaving server may get requests that a
+// watch of the backend servers waits at most. The rest is for finding another source when
+// the one that is followed is gone, and for its answer.
+const drainWaitShare = 4
+
+// feedMaxWait returns the maximum wait of a watch for a feed.
+func (inst *Instance) feedMaxWait(name string) waxfleet.Millis {
+	wait := feedMaxWaits[name]
+	if drain := inst.bounds.Load().MaxDrainDelay; name == FeedServers && drain > 0 {
+		wait = min(wait, drain/drainWaitShare)
+	}
+	return wait
 }
 
 // feedMinIntervals holds the minimum interval between two calls for each feed. It is
@@ -57,6 +76,9 @@
 	// recoveryInterval is the minimum interval between two attempts to call the store
 	// because it responds to other instances.
 	recoveryInterval waxfleet.Millis = 2_000
+	// maxOutsiders is the number of instances outside of the group that are asked at once,
+	// others each time.
+	maxOutsiders = 4
 	// monitorInterval is the interval between two checks of the replicas.
 	monitorInterval waxfleet.Millis = 100
 )
@@ -66,12 +88,16 @@
 	byFeed   map[string]*waxreplica.Replica
 	selector *waxreplica.Selector
 	clients  *waxreplica.Clients
+	// watchdogs holds the watchdogs of the feeds by name; it is set before the followers start.
+	watchdogs map[string]*waxreplica.Watchdog
 	// loggedOld holds the feeds whose copies were logged as old. Only monitorReplicas uses it.
 	loggedOld map[string]bool
 
 	mu              sync.Mutex
 	interrupts      map[string]func()
 	storeLostByFeed map[string]bool
+	// queries holds the feeds for which the next call asks several sources at once.
+	queries map[string]bool
 }
 
 func newReplicaSet(clock *waxfleet.Clock, instance string) *replicaSet {
@@ -81,7 +107,9 @@
 		clients:         waxreplica.NewClients(),
 		interrupts:      map[string]func(){},
 		storeLostByFeed: map[string]bool{},
+		watchdogs:       map[string]*waxreplica.Watchdog{},
 		loggedOld:       map[string]bool{},
+		queries:         map[string]bool{},
 	}
 	for _, feed := range feedOrder {
 		s.byFeed[feed] = waxreplica.New(clock, s.selector.Serves)
@@ -159,6 +187,29 @@
 	}
 }
 
+// requestQuery makes the next call for a feed ask several sources at once.
+func (s *replicaSet) requestQuery(feed string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queries[feed] = true
+}
+
+// takeQuery reports whether requestQuery was called for the feed, and resets that state.
+func (s *replicaSet) takeQuery(feed string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	requested := s.queries[feed]
+	delete(s.queries, feed)
+	return requested
+}
+
+// lost reports whether a feed has lost the store.
+func (s *replicaSet) lost(feed string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.storeLostByFeed[feed]
+}
+
 // ages returns the age of the copy of each feed against the store, in the order of
 // feedOrder; -1 for one that is not loaded.
 func (s *replicaSet) ages() []waxfleet.Millis {
@@ -188,6 +239,9 @@
 // startFollowers starts the followers of all feeds.
 func (inst *Instance) startFollowers(ctx context.Context) {
 	store := inst.opts.Store
+	for _, feed := range []string{FeedConfig, FeedServers, FeedEvacuations} {
+		inst.replicas.watchdogs[feed] = waxreplica.NewWatchdog(func() waxfleet.Millis { return inst.feedMaxWait(feed) })
+	}
 	followFeed(ctx, inst, FeedConfig, store.Configurations(), waxfollow.Options[*waxtable.Table]{Apply: inst.applyConfig})
 	followFeed(ctx, inst, FeedServers, store.BackendServers(), waxfollow.Options[waxfleet.BackendServerEntry]{
 		Apply:          inst.applyServers,
@@ -234,7 +288,10 @@
 	}
 	opts.PeerFailed = func(peer string, _ error) { inst.replicas.selector.PeerFailed(peer) }
 	opts.Source = func() waxfollow.Source[T] {
-		source := waxfollow.Source[T]{Feed: store, Wait: feedMaxWaits[name]}
+		if inst.replicas.takeQuery(name) {
+			return querySource(inst, name, store)
+		}
+		source := waxfollow.Source[T]{Feed: store, Wait: inst.feedMaxWait(name)}
 		if name == FeedConfig && inst.freshness.Withheld() {
 			source.Wait = withheldConfigWait
 		}
@@ -251,6 +308,73 @@
 	inst.replicas.setInterrupt(name, waxfollow.New(ctx, opts).Interrupt)
 }
 
+// querySource returns a source that asks several instances, and maybe the store, at once.
+func querySource[T any](inst *Instance, name string, store waxfleet.Feed[T]) waxfollow.Source[T] {
+	t := inst.exchanger.Topology()
+	peers, direct, outsiders := inst.replicas.selector.Candidates(inst.youngest(t, slices.Index(feedOrder, name)))
+	if w := inst.replicas.watchdogs[name]; w != nil {
+		w.Asked(direct)
+	}
+	var sources []waxreplica.NamedFeed[T]
+	if direct {
+		sources = append(sources, waxreplica.NamedFeed[T]{Feed: store})
+	}
+	for _, p := range t.Group {
+		if !slices.Contains(peers, p.Name) {
+			continue
+		}
+		feed := waxreplica.NewFeed(store, inst.replicas.clients, p.Address, name)
+		if inst.loads.Able(p.Name, waxwire.Ability_ABILITY_GIVES_SNAPSHOTS) {
+			feed = feed.Snapshot()
+		}
+		sources = append(sources, waxreplica.NamedFeed[T]{Name: p.Name, Feed: feed})
+	}
+	if outsiders {
+		// Those of earlier versions ignore that a snapshot is wanted.
+		for _, p := range inst.exchanger.Outsiders(uint64(inst.opts.Clock.Now()), maxOutsiders) {
+			feed := waxreplica.NewFeed(store, inst.replicas.clients, p.Address, name).Snapshot()
+			sources = append(sources, waxreplica.NamedFeed[T]{Name: p.Name, Outsider: true, Feed: feed})
+		}
+	}
+	age := inst.replicas.byFeed[name].Age()
+	maxLag := age
+	if age < 0 {
+		maxLag = math.MaxInt32
+	}
+	if w := inst.replicas.watchdogs[name]; w != nil {
+		// An older copy is that of an instance that has lost contact itself.
+		maxLag = min(maxLag, w.MaxAge(t.Gap()))
+	}
+	winner := ""
+	feed := waxreplica.NewFreshest(store, sources, maxLag, func(r waxreplica.QueryResult) {
+		winner = r.Winner
+		inst.replicas.selector.QueryEnded(r)
+		if r.Found && (r.Winner == "" || r.Outsider) {
+			inst.exchanger.Flush() // others may have no recent copy either
+		}
+		inst.log.Info("several sources asked", "feed", name, "sources", len(sources), "store", direct, "outsiders", outsiders,
+			"found", r.Found, "peer", r.Winner, "old", r.Old, "age-ms", int64(age))
+	})
+	return waxfollow.Source[T]{Feed: feed, Winner: func() string { return winner }}
+}
+
+// youngest returns the instances of the group that were heard from recently, those with the
+// youngest copies of a feed first, as they have told.
+func (inst *Instance) youngest(t waxpeer.Topology, feed int) []string {
+	alive, _ := filterGroup(t, inst.loads.Alive)
+	ages := map[string]waxfleet.Millis{}
+	for _, name := range alive {
+		ages[name] = inst.loads.Feeds(name, feed+1)[feed].Age
+		if ages[name] < 0 {
+			ages[name] = math.MaxInt32
+		}
+	}
+	slices.SortFunc(alive, func(a, b string) int {
+		return cmp.Or(cmp.Compare(ages[a], ages[b]), waxplace.CompareByHash(a, b))
+	})
+	return alive
+}
+
 // filterGroup returns the names of the matching instances of the group, and whether the
 // group is the whole fleet.
 func filterGroup(t waxpeer.Topology, match func(name string) bool) (names []string, wholeFleet bool) {
@@ -263,35 +387,87 @@
 }
 
 // source returns the instance to follow and its address, or "" for the store. An instance
-// follows only instances of its own group.
+// follows only instances of its own group, but for a while after none of them had a recent
+// copy.
 func (inst *Instance) source() (peer, address string) {
 	t := inst.exchanger.Topology()
 	timeout := t.FollowTimeout()
 	reachesStore, wholeFleet := filterGroup(t, func(name string) bool { return inst.loads.ReachesStore(name, timeout) })
-	peer = inst.replicas.selector.Source(reachesStore, wholeFleet)
+	recent := slices.DeleteFunc(slices.Clone(reachesStore), func(name string) bool { return inst.copyOld(name, t.Gap()) })
+	if len(recent) == 0 {
+		// The store may be slow. Queries find out who has a better copy; the whole group must
+		// not turn to the store.
+		recent = reachesStore
+	}
+	peer = inst.replicas.selector.Source(recent, wholeFleet)
+	if address = inst.exchanger.Address(peer); address == "" {
+		return "", ""
+	}
+	return peer, address
+}
+
+// copyOld reports whether an instance has told that its copy of a watched feed is too old.
+// gap is the time between two of its datagrams.
+func (inst *Instance) copyOld(name string, gap waxfleet.Millis) bool {
+	for i, state := range inst.loads.Feeds(name, len(feedOrder)) {
+		if w := inst.replicas.watchdogs[feedOrder[i]]; w != nil && state.Age > w.MaxAge(gap) {
+			return true
+		}
+	}
+	return false
+}
+
+// views returns what this instance knows of its copies of the feeds, in the order of
+// feedOrder, and of their source. silent is set if the followed instance was not heard from
+// lately.
+func (inst *Instance) views(silent bool) []waxreplica.View {
+	t, followed := inst.exchanger.Topology(), inst.replicas.selector.Followed()
+	views := make([]waxreplica.View, len(feedOrder))
+	for i, feed := range feedOrder {
+		views[i] = waxreplica.View{
+			Followed: followed != "", Silent: silent, SourceAge: -1, OthersAge: -1, OwnAge: inst.replicas.byFeed[feed].Age(),
+			Gap: t.Gap(), StoreLost: inst.replicas.lost(feed),
+		}
+	}
+	now := inst.opts.Clock.Now()
 	for _, p := range t.Group {
-		if p.Name == peer {
-			return peer, p.Address
+		for i, state := range inst.loads.Feeds(p.Name, len(feedOrder)) {
+			if state.Age < 0 {
+				continue
+			}
+			v := &views[i]
+			if p.Name == followed {
+				v.SourceAge = state.Age
+				inst.replicas.byFeed[feedOrder[i]].Seen(state.Revision, now-state.Age)
+			}
+			if v.OthersAge < 0 || state.Age < v.OthersAge {
+				v.OthersAge = state.Age
+			}
 		}
 	}
-	return "", ""
+	return views
 }
 
-// noteAges takes over what the followed instance tells of the ages of its copies, and reports
-// the ages of the own ones.
-func (inst *Instance) noteAges() {
+// checkAges asks several sources for each feed whose copy may be too old, and reports ages
+// above half of the bound.
+func (inst *Instance) checkAges(silent bool) {
 	now := inst.opts.Clock.Now()
-	for i, state := range inst.loads.Feeds(inst.replicas.selector.Followed(), len(feedOrder)) {
+	for i, v := range inst.views(silent) {
 		feed := feedOrder[i]
-		if state.Age >= 0 {
-			inst.replicas.byFeed[feed].Seen(state.Revision, now-state.Age)
+		w := inst.replicas.watchdogs[feed]
+		if w == nil {
+			continue
 		}
-		if feed == FeedPeers {
+		inst.metrics.RecordCopyAge(feed, v.OwnAge)
+		inst.logAge(feed, v.OwnAge)
+		reason := w.Check(now, v)
+		if reason == waxreplica.ReasonNone {
 			continue
 		}
-		age := inst.replicas.byFeed[feed].Age()
-		inst.metrics.RecordCopyAge(feed, age)
-		inst.logAge(feed, age)
+		inst.log.Info("copy may be too old", "feed", feed, "reason", string(reason), "peer", inst.replicas.selector.Followed(),
+			"age-ms", int64(v.OwnAge), "source-age-ms", int64(v.SourceAge), "others-age-ms", int64(v.OthersAge))
+		inst.replicas.requestQuery(feed)
+		inst.replicas.interrupt(feed)
 	}
 }
 
@@ -324,14 +500,15 @@
 	unreachable := ""
 	for inst.opts.Clock.Sleep(ctx, monitorInterval) == nil {
 		now := inst.opts.Clock.Now()
-		if peer := inst.replicas.selector.Followed(); peer == "" || inst.loads.ReachesStore(peer, inst.exchanger.Topology().FollowTimeout()) {
+		if peer := inst.replicas.selector.Followed(); peer == "" || inst.replicas.selector.FollowsOutsider() ||
+			inst.loads.ReachesStore(peer, inst.exchanger.Topology().FollowTimeout()) {
 			unreachable = ""
 		} else if peer != unreachable {
 			unreachable = peer
 			inst.log.Warn("followed instance is unreachable", "peer", peer)
 			inst.replicas.interruptAll()
 		}
-		inst.noteAges()
+		inst.checkAges(unreachable != "")
 		if !inst.replicas.storeReachable() && inst.loads.StoreReachable() && now-lastRecovery >= recoveryInterval {
 			lastRecovery = now
 			inst.replicas.selector.StoreRecovered()
@@ -361,6 +538,7 @@
 				"revision", reached, "others", revision, "peer", inst.replicas.selector.Followed())
 			delete(behindSince, feed)
 			if inst.replicas.selector.ReplicaBehind() {
+				inst.replicas.requestQuery(feed)
 				inst.replicas.interrupt(feed)
 			}
 		}
--- a/waxfleet/waxpeer/exchanger.go
+++ b/waxfleet/waxpeer/exchanger.go
@@ -38,7 +38,7 @@
 	// replica of an instance is no longer followed. A paused instance keeps its
 	// connections open, so that calls to it would time out much later. A change has to be
 	// in force within two seconds.
-	maxMissedDatagrams = 3
+	maxMissedDatagrams = 2
 	// maxDatagramSize is a datagram size that fits an Ethernet frame, in bytes.
 	maxDatagramSize = 1_400
 	// maxEntries is the maximum number of cache entries in a datagram; each takes 12
@@ -74,6 +74,7 @@
 var Abilities = []waxwire.Ability{
 	waxwire.Ability_ABILITY_RECORDS_ORIGINS,
 	waxwire.Ability_ABILITY_TELLS_AGES,
+	waxwire.Ability_ABILITY_GIVES_SNAPSHOTS,
 }
 
 // Options configures an Exchanger.
@@ -359,16 +360,23 @@
 	return minGroupSendInterval * waxfleet.Millis(others+1) / constantRateGroupSize
 }
 
+// Gap returns the time between two datagrams of an instance of the group without news.
+func (t Topology) Gap() waxfleet.Millis { return datagramGap(len(t.Group)) }
+
+// datagramGap returns the time between two datagrams without news of an instance whose group
+// has this many others. A repeated datagram waits for the next send interval.
+func datagramGap(others int) waxfleet.Millis {
+	interval := groupSendInterval(others)
+	return (repeatInterval + interval - 1) / interval * interval
+}
+
 // FollowTimeout returns the time without a datagram after which the replica of an
 // instance of the group is no longer followed.
 func (t Topology) FollowTimeout() waxfleet.Millis { return followTimeout(len(t.Group)) }
 
 // followTimeout returns the FollowTimeout of a group with this many other instances.
 func followTimeout(others int) waxfleet.Millis {
-	interval := groupSendInterval(others)
-	// A repeated datagram waits for the next send interval.
-	gap := (repeatInterval + interval - 1) / interval * interval
-	return min(peerTimeout, maxMissedDatagrams*gap)
+	return min(peerTimeout, maxMissedDatagrams*datagramGap(others))
 }
 
 // domainTimeout is the time without totals from another failure domain after which its
@@ -402,22 +410,41 @@
 func (e *Exchanger) ReachingService(service string, key uint64) []Peer {
 	group := e.Topology().Group
 	timeout, hash := followTimeout(len(group)), NameHash(service)
-	inGroup := make(map[string]bool, len(group))
-	var reaching, unknown []Peer
+	var reaching []Peer
 	for _, p := range group {
-		inGroup[p.Name] = true
 		if e.loads.reachesService(p.Name, hash, timeout) {
 			reaching = append(reaching, p)
 		}
 	}
+	sortByWeight(key, reaching)
+	return append(reaching[:min(maxReaching, len(reaching))], e.Outsiders(key, maxUnknown)...)
+}
+
+// Outsiders returns at most n instances outside of the group, of which this instance does not
+// know whether they are alive, in the rendezvous order of the key.
+func (e *Exchanger) Outsiders(key uint64, n int) []Peer {
+	inGroup := map[string]bool{}
+	for _, p := range e.Topology().Group {
+		inGroup[p.Name] = true
+	}
+	var outsiders []Peer
 	for _, p := range e.otherPeers() {
 		if !inGroup[p.Name] {
-			unknown = append(unknown, p)
+			outsiders = append(outsiders, p)
 		}
 	}
-	sortByWeight(key, reaching)
-	sortByWeight(key, unknown)
-	return append(reaching[:min(maxReaching, len(reaching))], unknown[:min(maxUnknown, len(unknown))]...)
+	sortByWeight(key, outsiders)
+	return outsiders[:min(n, len(outsiders))]
+}
+
+// Address returns the address of another instance; empty if it is not known.
+func (e *Exchanger) Address(name string) string {
+	for _, p := range e.otherPeers() {
+		if p.Name == name {
+			return p.Address
+		}
+	}
+	return ""
 }
 
 // HearsFleet reports whether at least half of the instances of the group were heard from
--- a/waxfleet/waxpeer/loads.go
+++ b/waxfleet/waxpeer/loads.go
@@ -342,6 +342,13 @@
 	return ok && r.storeReachable && slices.Contains(r.abilities, waxwire.Ability_ABILITY_RECORDS_ORIGINS)
 }
 
+// Able reports whether the named instance, heard from within peerTimeout, says that it has an
+// ability.
+func (l *Loads) Able(name string, a waxwire.Ability) bool {
+	r, ok := l.recentReport(name, peerTimeout)
+	return ok && slices.Contains(r.abilities, a)
+}
+
 // reachesService reports whether the named instance was heard from within the timeout and
 // is not cut off from all servers of the service.
 func (l *Loads) reachesService(name string, service uint64, timeout waxfleet.Millis) bool {
--- a/waxfleet/waxreplica/replica.go
+++ b/waxfleet/waxreplica/replica.go
@@ -156,6 +156,20 @@
 	}
 }
 
+// snapshot returns the changes after a revision at once, whether or not the replica serves
+// followers.
+//
+// Errors: CodePlatformUnreachable when the replica is not loaded.
+func (r *Replica) snapshot(after waxfleet.Revision) (*waxwire.FollowReply, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	reply := r.replyAfter(after)
+	if reply == nil {
+		return nil, waxfleet.NewError(waxfleet.CodePlatformUnreachable, "replica has not been loaded yet")
+	}
+	return reply, nil
+}
+
 // replyAfter returns the changes after a revision, or all records when the replica no
 // longer has the changes. It returns nil before the first list. The caller holds the
 // lock.
--- a/waxfleet/waxreplica/selector.go
+++ b/waxfleet/waxreplica/selector.go
@@ -43,6 +43,20 @@
 	watcherMaxRetryDelay waxfleet.Millis = 500
 	otherMinRetryDelay   waxfleet.Millis = 2_000
 	otherMaxRetryDelay   waxfleet.Millis = 4_000
+	// maxCandidates is the number of instances that are asked at once. In a group of more than
+	// smallGroup instances, maxDirect ask the store, too, at the first query.
+	maxCandidates = 6
+	smallGroup    = 8
+	maxDirect     = 4
+	// storeAskDelay is the time after a failed call to the store in which a query of several
+	// sources leaves the store out. It doubles with each query at which the store fails, up
+	// to maxStoreAskDelay.
+	storeAskDelay    waxfleet.Millis = 2_000
+	maxStoreAskDelay waxfleet.Millis = 8_000
+	// preferWindow is the time for which the instance with the most recent copy is followed,
+	// and oldSourceDelay the time for which those without one are not.
+	preferWindow   waxfleet.Millis = 2_000
+	oldSourceDelay waxfleet.Millis = 1_000
 )
 
 // watchers returns the number of instances of a group that watch the store. wholeFleet
@@ -68,7 +82,8 @@
 //
 // An instance watches the store, or follows an instance that precedes it in the order of
 // the group. When it has lost the store and follows a later instance, it refuses
-// followers. Replicas thus never follow each other in a cycle.
+// followers. Replicas thus never follow each other in a cycle, except for a while after
+// queries of several sources; their ages then grow, and lead to the next query.
 type Selector struct {
 	clock    *waxfleet.Clock
 	instance string
@@ -84,6 +99,16 @@
 	storeLagSince waxfleet.Millis
 	avoidUntil    map[string]waxfleet.Millis
 	followed      string
+	// preferred is followed until preferUntil. It may be outside of the group.
+	preferred   string
+	outsider    bool
+	preferUntil waxfleet.Millis
+	// storeFailedAt is when a call to the store failed last, and failedQueries the number of
+	// queries of several sources in a row that brought nothing.
+	storeFailedAt waxfleet.Millis
+	failedQueries int
+	// askDelay is the current delay after storeFailedAt.
+	askDelay waxfleet.Millis
 }
 
 // NewSelector returns a selector for the named instance.
@@ -94,6 +119,9 @@
 		avoidUntil: map[string]waxfleet.Millis{},
 		lastLagAt:  -repeatedLagWindow,
 		storeLagAt: -repeatedLagWindow,
+
+		storeFailedAt: -maxStoreAskDelay,
+		askDelay:      storeAskDelay,
 	}
 }
 
@@ -113,6 +141,9 @@
 	if now < s.watchStoreUntil && now >= s.avoidStoreUntil {
 		return ""
 	}
+	if now < s.preferUntil && now >= s.avoidUntil[s.preferred] && (s.outsider || slices.Contains(reachesStore, s.preferred)) {
+		return s.preferred
+	}
 	// The first usable instances of the group watch the store. When the store or a
 	// watcher fails, only the next instance takes over, not the whole group.
 	usable := slices.SortedFunc(slices.Values(append(slices.Clone(reachesStore), s.instance)), waxplace.CompareByHash)
@@ -138,6 +169,14 @@
 	return s.followed
 }
 
+// FollowsOutsider reports whether Source chose an instance outside of the group last, which
+// sends this one no datagrams.
+func (s *Selector) FollowsOutsider() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.outsider && s.followed != "" && s.followed == s.preferred
+}
+
 // Serves reports whether other instances may follow the replicas of this one.
 func (s *Selector) Serves() bool {
 	s.mu.Lock()
@@ -160,6 +199,54 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.avoidStoreUntil = s.clock.Now() + sourceRetryDelay
+	s.storeFailedAt = s.clock.Now()
+}
+
+// Candidates returns the sources that are asked at once when the followed one is gone or out
+// of date: instances, and whether the store is one of them. others holds the other instances
+// of the group that were heard from recently, those that are to be asked first at the front.
+// In a large group only the first ones in the order of the group ask the store, and then tell
+// the others; if that has brought nothing, all do, and outsiders is true: instances outside of
+// the group are to be asked as well.
+func (s *Selector) Candidates(others []string) (peers []string, store, outsiders bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rank := 0
+	for _, name := range others {
+		if waxplace.CompareByHash(name, s.instance) < 0 {
+			rank++
+		}
+	}
+	direct := rank < maxDirect || len(others) < smallGroup || s.failedQueries > 0
+	store = direct && s.clock.Now()-s.storeFailedAt >= s.askDelay
+	return slices.Clone(others[:min(maxCandidates, len(others))]), store, s.failedQueries > 0
+}
+
+// QueryEnded records the result of a query of several sources.
+func (s *Selector) QueryEnded(r QueryResult) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	if r.StoreFailed {
+		s.storeFailedAt, s.askDelay = now, min(2*s.askDelay, maxStoreAskDelay)
+	}
+	if !r.Found {
+		s.failedQueries++
+		return
+	}
+	s.failedQueries = 0
+	for _, name := range r.Old {
+		s.avoidUntil[name] = max(s.avoidUntil[name], now+oldSourceDelay)
+	}
+	delete(s.avoidUntil, r.Winner)
+	if r.Winner == "" {
+		// Until another instance is known to have a recent copy, Source returns the store.
+		s.avoidStoreUntil, s.preferUntil, s.askDelay = 0, 0, storeAskDelay
+		return
+	}
+	if r.Recent {
+		s.preferred, s.outsider, s.preferUntil = r.Winner, r.Outsider, now+preferWindow
+	}
 }
 
 // StoreRecovered records that the store responds to this instance or another one again.
@@ -168,7 +255,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	clear(s.avoidUntil)
-	s.avoidStoreUntil = 0
+	s.avoidStoreUntil, s.askDelay = 0, storeAskDelay
 }
 
 // RetryDelays returns the bounds of the retry delay after a failed call to the store.
--- a/waxfleet/waxreplica/server.go
+++ b/waxfleet/waxreplica/server.go
@@ -35,7 +35,13 @@
 		return nil, connect.NewError(connect.CodeNotFound, waxfleet.NewError(waxfleet.CodeObjectNotFound, "no feed %q", req.Msg.GetFeed()))
 	}
 	wait := min(max(waxfleet.Millis(req.Msg.GetWaitMs()), 0), maxFollowWait)
-	reply, err := r.changesAfter(ctx, waxfleet.Revision(req.Msg.GetAfter()), wait)
+	var reply *waxwire.FollowReply
+	var err error
+	if after := waxfleet.Revision(req.Msg.GetAfter()); req.Msg.GetSnapshot() {
+		reply, err = r.snapshot(after)
+	} else {
+		reply, err = r.changesAfter(ctx, after, wait)
+	}
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
@@ -93,6 +99,8 @@
 	clients *Clients
 	address string
 	name    string
+	// snapshot is set if the copy is wanted at once, whatever its age.
+	snapshot bool
 }
 
 // NewFeed returns the named feed of the instance at address, an "ip:port". The feed of
@@ -101,6 +109,12 @@
 	return Feed[T]{Feed: store, clients: clients, address: address, name: name}
 }
 
+// Snapshot returns a feed that asks for the copy at once, whatever its age.
+func (f Feed[T]) Snapshot() Feed[T] {
+	f.snapshot = true
+	return f
+}
+
 // List implements waxfleet.Feed.
 func (f Feed[T]) List(ctx context.Context) (waxfleet.Batch[T], error) { return f.follow(ctx, 0, 0) }
 
@@ -115,7 +129,7 @@
 // revisions don't include the era of the store.
 func (f Feed[T]) follow(ctx context.Context, after waxfleet.Revision, wait waxfleet.Millis) (waxfleet.Batch[T], error) {
 	resp, err := f.clients.client(f.address).Follow(ctx, connect.NewRequest(&waxwire.FollowRequest{
-		Feed: f.name, After: uint64(after), WaitMs: int64(wait),
+		Feed: f.name, After: uint64(after), WaitMs: int64(wait), Snapshot: f.snapshot,
 	}))
 	if err != nil {
 		return waxfleet.Batch[T]{}, waxfleet.WrapError(err, waxfleet.CodePeerUnreachable, "failed to follow the replica at %s", f.address)
