waxintake: look for a waiting request without a timeout

An evicted connection was read for up to a millisecond to see whether a request had arrived, while the account is locked. It reads what is there, and waits for nothing.

--- a/waxfleet/waxintake/conn.go
+++ b/waxfleet/waxintake/conn.go
@@ -15,6 +15,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"waxwingdrift.org/waxfleet"
 	"waxwingdrift.org/waxfleet/waxconn"
 )
@@ -43,8 +45,6 @@
 	// response.
 	lingerTimeout = 500 * time.Millisecond
 	lingerBytes   = 1 << 20
-	// lastReadTimeout is the time to read from an evicted connection whether a request waits.
-	lastReadTimeout = time.Millisecond
 	// refusalTimeout bounds the time to write a refusal.
 	refusalTimeout = time.Second
 	// minRetryAfter and maxRetryAfter bound the Retry-After delay of refusals.
@@ -431,12 +431,17 @@
 
 // requestWaits reports whether bytes of a request have arrived on an evicted connection.
 func (c *Conn) requestWaits() bool {
-	if c.TCPConn.SetReadDeadline(time.Now().Add(lastReadTimeout)) != nil {
+	raw, err := c.SyscallConn()
+	if err != nil || c.TCPConn.SetReadDeadline(time.Time{}) != nil {
 		return false
 	}
-	var first [1]byte
-	n, _ := c.TCPConn.Read(first[:])
-	return n > 0
+	n := 0
+	err = raw.Read(func(fd uintptr) bool {
+		var first [1]byte
+		n, _ = unix.Read(int(fd), first[:])
+		return true // doesn't wait for more
+	})
+	return err == nil && n > 0
 }
 
 // fail records and returns the reason for which the current request is not read on.
