--- a/waxfleet/waxfront/inspect.go
+++ b/waxfleet/waxfront/inspect.go
@@ -29,7 +29,7 @@
 		ProofAgeMs:    -1,
 		Followed:      inst.replicas.selector.Followed(),
 		Evacuated:     evacuated,
-		Build:         buildVersion(),
+		Build:         BuildVersion(),
 		Abilities:     waxpeer.Abilities,
 		ServersAgeMs:  proto.Int64(int64(inst.replicas.byFeed[FeedServers].Age())),
 	}
@@ -62,9 +62,9 @@
 // maxRevisionLength is the length to which the revision of the build is cut.
 const maxRevisionLength = 12
 
-// buildVersion returns the revision that the program was built from, with a plus sign if the
+// BuildVersion returns the revision that the program was built from, with a plus sign if the
 // sources were changed; empty if the build does not know it.
-func buildVersion() string {
+func BuildVersion() string {
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
 		return ""
--- a/waxrouter/route.go
+++ b/waxrouter/route.go
@@ -84,7 +84,7 @@
 	}
 	log.Info("started", "failure-domain", s.FailureDomain, "caller-address", s.CallerAddress,
 		"ready-address", s.ReadyAddress, "store", s.StoreAddress, "pid", os.Getpid(),
-		"build", buildRevision())
+		"build", waxfront.BuildVersion())
 	reloader := newReloader(path, log, instance)
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
@@ -101,25 +101,6 @@
 	}
 }
 
-// buildRevision returns the commit from which the program was built, "unknown" if it was
-// built outside of a checkout, with "-modified" if the checkout had changes.
-func buildRevision() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "unknown"
-	}
-	revision, modified := "unknown", ""
-	for _, s := range info.Settings {
-		switch {
-		case s.Key == "vcs.revision":
-			revision = s.Value
-		case s.Key == "vcs.modified" && s.Value == "true":
-			modified = "-modified"
-		}
-	}
-	return revision + modified
-}
-
 // reloader applies changes of the settings file to a running instance. modTime is
 // the modification time of the file when it was last read.
 type reloader struct {
