waxforward: end a silent server's answer only for another server

Cause: after 4 times the objective for the gap between events, the send was ended, and only then was it found out whether a retry is left and another server is eligible. If not, the answer was given up. The same order answered 502 to repeatable requests whose header was late. Ruled out: the SIGHUP (instances without one cut as many), the kernel's timeout (3 s), by the log lines "send failed" with "timed out waiting for the backend server" and "again" false.

Change: silenceWatch selects the other server and reserves the retry before a send is given up. Within a stream, the silent server is kept until the other one has sent the next event (takeOver); whichever comes first goes on, and the other is cancelled. A server whose machine accepts connections is awaited for three quarters of the pause after which callers leave; one that accepts none, as before, for 4 times the objective. Before the header, the send is given up once another server is selected and the retry is reserved. A send that ends because its caller left, or because it was overtaken, no longer counts against the health of its server.

Before, TestWholePath/silent: two streams cut after event 3, two requests answered 502.

--- a/waxfleet/waxforward/cost.go
+++ b/waxfleet/waxforward/cost.go
@@ -137,7 +137,7 @@
 	}
 	if !fl.plain {
 		fl.maximum, fl.hint = float64(req.inbound.MaxTokens), req.inbound.LengthHint
-		fl.received = float64(max(req.inbound.LastEventID, req.response.lastEventID, 0))
+		fl.received = float64(max(req.inbound.LastEventID, req.lastEvent(), 0))
 	}
 	fl.expected = s.cost.costs.Estimate(fl.subject, fl.hint, fl.maximum).Mean
 	return fl
--- a/waxfleet/waxforward/forwarder.go
+++ b/waxfleet/waxforward/forwarder.go
@@ -178,6 +178,16 @@
 	// its process had when the request was sent, as far as known.
 	state *serverState
 	start int64
+	// watch is that of the last send, or nil.
+	watch *silenceWatch
+	// takeOver is set until the server of the last send takes a stream over, if it is to do so.
+	// resumeAfter is the id of the last event that the caller had got before; -1 for none.
+	takeOver    *takeOver
+	resumeAfter int64
+	// reservation is the server that is reserved for the next send, and retryReserved is true
+	// if the retry budget was charged for it.
+	reservation   *reservation
+	retryReserved bool
 	// digest identifies the request and the caller's retries of it.
 	digest string
 	// traits are the properties for which the request may be banned. The last one is that
--- a/waxfleet/waxforward/link.go
+++ b/waxfleet/waxforward/link.go
@@ -47,6 +47,56 @@
 	return slices.ContainsFunc(errs, func(err error) bool { return waxfleet.CodeOf(err) != waxfleet.CodePeerUnreachable })
 }
 
+// reachProbe is a connection attempt that shows whether a server is there.
+type reachProbe struct {
+	startedAt waxfleet.Millis
+	// done is closed at the end; reachable is set then.
+	done      chan struct{}
+	reachable bool
+}
+
+// reachProbeTTL is the time for which the result of a reachProbe holds. Many streams at a server
+// fall silent together.
+const reachProbeTTL waxfleet.Millis = 200
+
+// reachable opens a connection to a server, unless that was done just now, and reports whether
+// the server may be there. A server that is only silent is: its machine accepts connections.
+func (f *Forwarder) reachable(ctx context.Context, state *serverState) bool {
+	f.servers.mu.Lock()
+	p, now := state.probe, f.opts.Clock.Now()
+	first := p == nil || now-p.startedAt >= reachProbeTTL
+	if first {
+		p = &reachProbe{startedAt: now, done: make(chan struct{})}
+		state.probe = p
+	}
+	f.servers.mu.Unlock()
+	if first {
+		err := state.pool.Probe(context.WithoutCancel(ctx))
+		if p.reachable = waxfleet.CodeOf(err) != waxfleet.CodePeerUnreachable; !p.reachable {
+			f.servers.recordUnreachable(state, isTimeout(err))
+		}
+		close(p.done)
+	}
+	select {
+	case <-p.done:
+		return p.reachable
+	case <-ctx.Done():
+		return true
+	}
+}
+
+// recordUnreachable records that a server that is silent accepts no connections either.
+func (s *Servers) recordUnreachable(state *serverState, timedOut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	server, now := state.entry.Server(), s.clock.Now()
+	if timedOut {
+		s.domainState(server.FailureDomain()).health.RecordTimeout(now, server.ID())
+	}
+	s.serviceState(server.Service()).link.RecordConnection(server.ID(), false)
+	state.health.RecordUnreachable(now)
+}
+
 // UnreachableServices returns the hashes of the services from all of whose servers this
 // instance is cut off.
 func (s *Servers) UnreachableServices() []uint64 {
--- a/waxfleet/waxforward/peer.go
+++ b/waxfleet/waxforward/peer.go
@@ -26,7 +26,7 @@
 // forwardToPeers sends the request to other instances while this one is cut off from all
 // servers of its service. It reports false if none got the request.
 func (f *Forwarder) forwardToPeers(ctx context.Context, req *requestState) (handled bool, err error) {
-	if req.fromPeer || !f.servers.cutOff(req.service) {
+	if !f.sendsToPeers(req) {
 		return false, nil
 	}
 	defer func() { req.peer = "" }()
@@ -57,6 +57,11 @@
 	return last != nil, last
 }
 
+// sendsToPeers reports whether the request goes to other instances.
+func (f *Forwarder) sendsToPeers(req *requestState) bool {
+	return !req.fromPeer && f.servers.cutOff(req.service)
+}
+
 // sendToPeer sends the request to another instance and relays its response. The error is
 // nil only with resultComplete.
 func (f *Forwarder) sendToPeer(ctx context.Context, req *requestState, p waxpeer.Peer) (result, error) {
@@ -71,12 +76,13 @@
 		return resultNotSent, err
 	}
 	defer conn.Discard()
-	sendCtx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
+	sendCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	defer context.AfterFunc(sendCtx, conn.Discard)()
 	req.sends++
 	req.runs++
 	req.sentAt, req.headerAt, req.firstEventAt, req.framed = f.opts.Clock.Now(), 0, 0, false
+	req.watch = nil // the other instance watches its server
 	resp, err := conn.RoundTrip(f.peerRequest(req))
 	if err != nil {
 		return resultMayHaveRun, err
@@ -85,7 +91,7 @@
 	if !resp.Head.Signed {
 		return f.peerError(req, resp)
 	}
-	return f.relay(sendCtx, cancel, req, resp)
+	return f.relay(sendCtx, req, resp)
 }
 
 // peerRequest builds the request for another instance: that of the caller, or the take-up
@@ -93,8 +99,8 @@
 func (f *Forwarder) peerRequest(req *requestState) waxpool.Request {
 	in := req.inbound
 	in.Timeout = max(req.deadline-f.opts.Clock.Now(), 1)
-	if req.response.lastEventID >= 0 {
-		in.LastEventID, in.Resumes = req.response.lastEventID, req.streamID()
+	if last := req.lastEvent(); last >= 0 {
+		in.LastEventID, in.Resumes = last, req.streamID()
 	}
 	return waxpool.Request{
 		ID: in.ID, Method: req.method, Target: req.target, Host: req.host,
--- a/waxfleet/waxforward/relay.go
+++ b/waxfleet/waxforward/relay.go
@@ -5,30 +5,26 @@
 	"errors"
 	"io"
 	"net/http"
-	"time"
 
 	"waxwingdrift.org/waxfleet"
 	"waxwingdrift.org/waxfleet/waxpool"
 )
 
-const (
-	// maxBufferedBytes is the length up to which a response is buffered before its header
-	// is sent to the caller. If the response turns out to be incomplete, the request can
-	// then be retried.
-	maxBufferedBytes = 256 << 10
-	// eventGapFactor x the route's objective for the gap between events is the timeout
-	// after which another server resumes a resumable stream. Only complete events with a
-	// new id count: a stalled server may go on sending comments or single bytes.
-	eventGapFactor = 4
-)
+// maxBufferedBytes is the length up to which a response is buffered before its header
+// is sent to the caller. If the response turns out to be incomplete, the request can
+// then be retried.
+const maxBufferedBytes = 256 << 10
 
 // relay sends the response of the server to the caller.
-func (f *Forwarder) relay(ctx context.Context, cancel context.CancelCauseFunc, req *requestState, resp *waxpool.Response) (result, error) {
+func (f *Forwarder) relay(ctx context.Context, req *requestState, resp *waxpool.Response) (result, error) {
 	if !resp.Head.Signed {
 		return resultMayHaveRun, waxfleet.NewError(waxfleet.CodeBackendError, "response with status %d has no signature", resp.Status)
 	}
 	if resp.Status >= 200 && resp.Status < 300 && req.route.Kind() == waxfleet.KindStream {
-		return f.relayStream(ctx, cancel, req, resp)
+		return f.relayStream(ctx, req, resp)
+	}
+	if req.takeOver != nil {
+		return resultMayHaveRun, waxfleet.NewError(waxfleet.CodeStreamIncomplete, "server responded with status %d instead of taking the stream over", resp.Status)
 	}
 	return f.relayBuffered(ctx, req, resp)
 }
@@ -201,44 +197,45 @@
 
 // relayStream relays each event of a stream once it is complete. It skips events that the
 // caller has already received from an earlier server.
-func (f *Forwarder) relayStream(ctx context.Context, cancel context.CancelCauseFunc, req *requestState, resp *waxpool.Response) (result, error) {
+func (f *Forwarder) relayStream(ctx context.Context, req *requestState, resp *waxpool.Response) (result, error) {
 	events := newEventReader(resp.Body)
 	newest := int64(-1)
-	gap := f.eventTimeout(req)
-	var timer *time.Timer
-	if gap > 0 {
-		timer = time.AfterFunc(gap.Duration(), func() { cancel(errServerTimeout) })
-		defer timer.Stop()
-	}
+	req.watch.awaitEvents()
 	for {
+		req.watch.unlock()
 		event, id, err := events.next()
+		req.watch.lock()
+		if req.watch.ended() {
+			return resultMayHaveRun, waxfleet.WrapError(errServerTimeout, waxfleet.CodeStreamIncomplete, "another server has taken over")
+		}
 		if errors.Is(err, io.EOF) {
-			if timer != nil {
-				timer.Stop()
-			}
+			req.watch.stop()
 			return f.endStream(ctx, req, resp)
 		}
 		if err != nil {
-			if errors.Is(context.Cause(ctx), errServerTimeout) {
-				err = errServerTimeout
-			}
-			return resultMayHaveRun, waxfleet.WrapError(err, waxfleet.CodeStreamIncomplete, "stream ended early after event %d", req.response.lastEventID)
+			return resultMayHaveRun, waxfleet.WrapError(err, waxfleet.CodeStreamIncomplete, "stream ended early after event %d", req.lastEvent())
 		}
 		if id > newest {
 			newest = id
+			req.watch.recordEvent()
 			if req.peer == "" {
 				f.servers.recordActivity(req.entry)
 				f.recordProgress(req)
 			}
-			if timer != nil {
-				timer.Reset(gap.Duration())
+		}
+		if last := req.lastEvent(); id >= 0 && last >= 0 && id != last+1 {
+			if id <= last {
+				continue
 			}
+			return resultMayHaveRun, waxfleet.NewError(waxfleet.CodeAnswerMismatch, "event %d follows event %d", id, last)
 		}
-		if id >= 0 && req.response.lastEventID >= 0 && id != req.response.lastEventID+1 {
-			if id <= req.response.lastEventID {
+		if req.takeOver != nil {
+			if id < 0 {
 				continue
 			}
-			return resultMayHaveRun, waxfleet.NewError(waxfleet.CodeAnswerMismatch, "event %d follows event %d", id, req.response.lastEventID)
+			if err := req.takeStream(); err != nil {
+				return resultMayHaveRun, err
+			}
 		}
 		if !req.response.headerSent() {
 			if req.peer == "" {
@@ -255,8 +252,25 @@
 	}
 }
 
+// takeStream makes the caller's stream go on at the server of the request. It returns an error
+// if the server before goes on.
+func (req *requestState) takeStream() error {
+	t := req.takeOver
+	if t == nil {
+		return nil
+	}
+	if !t.win() {
+		return waxfleet.WrapError(context.Canceled, waxfleet.CodeCancelled, "the server before goes on")
+	}
+	req.takeOver = nil
+	return nil
+}
+
 // endStream returns the result of a stream that ended between two events.
 func (f *Forwarder) endStream(ctx context.Context, req *requestState, resp *waxpool.Response) (result, error) {
+	if err := req.takeStream(); err != nil {
+		return resultMayHaveRun, err
+	}
 	switch {
 	case !closeDelimited(req, resp):
 		if !req.response.headerSent() {
@@ -275,9 +289,9 @@
 	return resultComplete, nil
 }
 
-// eventTimeout returns the timeout for the next event, after which another server resumes
-// the stream. 0 means that the request waits until its deadline, for example because
-// another instance watches the stream.
+// eventTimeout returns the time without an event after which the server of a stream counts as
+// silent. 0 means that no other server can resume the stream, or that another instance watches
+// it.
 func (f *Forwarder) eventTimeout(req *requestState) waxfleet.Millis {
 	if req.peer != "" || !req.route.Resumable() || req.runs >= req.route.MaxAttempts() || req.route.EventGapObjective() <= 0 {
 		return 0
--- a/waxfleet/waxforward/retry.go
+++ b/waxfleet/waxforward/retry.go
@@ -71,44 +71,20 @@
 			}
 			return f.noServerError(req, string(choice.Reason), last)
 		}
-		id := req.entry.Server().ID()
-		req.triedServers[id] = true
-		heard, age := f.opts.Loads.ReportStats()
-		attrs := []any{
-			"request", req.inbound.ID, "server", id,
-			"software-version", req.entry.SoftwareVersion(), "resumes", req.inbound.Resumes,
-			"after-event", max(req.inbound.LastEventID, req.response.lastEventID), "reason", string(choice.Reason), "send", req.sends + 1, "load", choice.Load,
-			"pending-tokens", req.prefillTokens, "shared-tokens", req.promptKey.SharedTokens(),
-			"source", req.cacheSource, "mean", roundToTenth(choice.MeanLoad),
-			"limit", choice.LoadLimit, "peers", heard, "peer-age-ms", int64(age),
-			"config-version", req.table.Version(),
-		}
-		f.opts.Log.Info("placed", append(attrs, req.costAttrs()...)...)
-		spanCtx, span := f.opts.Tracer.Start(ctx, "send", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(attribute.String("server", id)))
-		res, err := f.send(spanCtx, req, state)
-		span.SetAttributes(attribute.String("result", res.String()))
-		span.End()
-		f.recordResult(ctx, req, res)
-		f.servers.finish(state, req.service, healthEffectOf(ctx, res, err), ctx.Err() == nil && isTimeout(err))
-		f.endFlight(req, state, res)
-		if res == resultNotRun && choice.LoadLimit == 0 {
-			f.servers.recordRejected(req, choice.Load, state.entry.Slots())
+		res, err := f.attempt(ctx, req, state, choice)
+		if req.retryReserved {
+			res, err = f.continueElsewhere(ctx, req)
 		}
 		if res == resultComplete {
-			f.observePrediction(req)
-			f.recordAnswer(req.traits)
 			return nil
 		}
-		if res == resultMayHaveRun && ctx.Err() == nil {
-			f.probeServer(ctx, req, state)
-		}
 		if ctx.Err() != nil {
 			return f.contextError(ctx, req)
 		}
 		last = err
 		// With resultServerFailure, relayBuffered has already reserved the retry.
 		retry := res == resultServerFailure || f.mayRetry(req, res)
-		f.opts.Log.Warn("send failed", "request", req.inbound.ID, "server", id, "result", res.String(), "error", err.Error(),
+		f.opts.Log.Warn("send failed", "request", req.inbound.ID, "server", req.entry.Server().ID(), "result", res.String(), "error", err.Error(),
 			"framed", req.framed, "last-event", req.response.lastEventID,
 			"runs", req.runs, "attempts", req.route.MaxAttempts(), "again", retry)
 		if !retry {
@@ -117,6 +93,45 @@
 	}
 }
 
+// attempt sends the request to a selected server and relays its response. If another server
+// takes the request over meanwhile, the result and the state of the request are those of that
+// one. If the request was given up for another server, a retry is reserved.
+func (f *Forwarder) attempt(ctx context.Context, req *requestState, state *serverState, choice waxpick.Choice) (result, error) {
+	id := req.entry.Server().ID()
+	req.triedServers[id] = true
+	heard, age := f.opts.Loads.ReportStats()
+	attrs := []any{
+		"request", req.inbound.ID, "server", id,
+		"software-version", req.entry.SoftwareVersion(), "resumes", req.inbound.Resumes,
+		"after-event", max(req.inbound.LastEventID, req.lastEvent()), "reason", string(choice.Reason), "send", req.sends + 1, "load", choice.Load,
+		"pending-tokens", req.prefillTokens, "shared-tokens", req.promptKey.SharedTokens(),
+		"source", req.cacheSource, "mean", roundToTenth(choice.MeanLoad),
+		"limit", choice.LoadLimit, "peers", heard, "peer-age-ms", int64(age),
+		"config-version", req.table.Version(),
+	}
+	f.opts.Log.Info("placed", append(attrs, req.costAttrs()...)...)
+	sendCtx, span := f.opts.Tracer.Start(ctx, "send", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(attribute.String("server", id)))
+	res, err := f.send(sendCtx, req, state)
+	span.SetAttributes(attribute.String("result", res.String()))
+	span.End()
+	f.recordResult(ctx, req, res)
+	f.servers.finish(state, req.service, healthEffectOf(ctx, res, err), ctx.Err() == nil && isTimeout(err))
+	f.endFlight(req, state, res)
+	if res == resultNotRun && choice.LoadLimit == 0 {
+		f.servers.recordRejected(req, choice.Load, state.entry.Slots())
+	}
+	if res == resultComplete {
+		f.observePrediction(req)
+		f.recordAnswer(req.traits)
+	}
+	if res == resultMayHaveRun && ctx.Err() == nil {
+		f.probeServer(ctx, req, state)
+	}
+	next, res, err := req.watch.settle(req, res, err)
+	*req = *next
+	return res, err
+}
+
 func roundToTenth(x float64) float64 { return float64(int(x*10)) / 10 }
 
 // healthEffectOf returns the effect of the result of a send on the health of the server. ctx
@@ -127,7 +142,7 @@
 	case resultComplete:
 		return effectSuccess
 	case resultMayHaveRun, resultServerFailure:
-		if errors.Is(err, context.Canceled) {
+		if errors.Is(err, context.Canceled) || errors.Is(ctx.Err(), context.Canceled) {
 			return effectNone
 		}
 		return effectFailure
@@ -187,6 +202,12 @@
 // mayRetry reports whether another server may get the request after a failed send. If the
 // send has reached a server, a retry takes a token of the retry budget.
 func (f *Forwarder) mayRetry(req *requestState, res result) bool {
+	return f.allowsRetry(req, res) && (res == resultNotSent || f.takeRetryToken(req))
+}
+
+// allowsRetry reports whether another server may get the request after a send with the result,
+// if the retry budget allows it.
+func (f *Forwarder) allowsRetry(req *requestState, res result) bool {
 	if req.deadline-f.opts.Clock.Now() < minRetryTimeout {
 		return false
 	}
@@ -194,15 +215,12 @@
 	case resultNotSent:
 		return len(req.triedServers) < maxSendsPerRequest
 	case resultNotRun:
-		return req.sends < maxSendsPerRequest && f.takeRetryToken(req)
+		return req.sends < maxSendsPerRequest
 	case resultMayHaveRun, resultServerFailure:
 		if !req.route.Retryable() || req.runs >= req.route.MaxAttempts() || req.sends >= maxSendsPerRequest {
 			return false
 		}
-		if req.response.headerSent() && !req.route.Resumable() {
-			return false
-		}
-		return f.takeRetryToken(req)
+		return !req.response.headerSent() || req.route.Resumable()
 	}
 	return false
 }
--- a/waxfleet/waxforward/send.go
+++ b/waxfleet/waxforward/send.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"sync"
-	"time"
 
 	"waxwingdrift.org/waxfleet"
 	"waxwingdrift.org/waxfleet/waxpool"
@@ -25,6 +24,7 @@
 // send sends the request to one server and relays its response. The error is nil only
 // with resultComplete.
 func (f *Forwarder) send(ctx context.Context, req *requestState, state *serverState) (result, error) {
+	req.watch = nil
 	var released sync.Once
 	release := func() { released.Do(func() { f.servers.releasePending(state, req.prefillTokens) }) }
 	defer release()
@@ -54,24 +54,23 @@
 	req.sends++
 	req.runs++
 	req.sentAt, req.headerAt, req.firstEventAt, req.framed = f.opts.Clock.Now(), 0, 0, false
-	timeout := f.headerTimeout(req)
-	var timer *time.Timer
-	if timeout > 0 {
-		timer = time.AfterFunc(timeout.Duration(), func() { cancel(errServerTimeout) })
-		defer timer.Stop()
-	}
 	req.state, req.start = state, f.servers.startOf(state)
+	w := newSilenceWatch(ctx, f, req, state, cancel)
 	resp, err := conn.RoundTrip(f.backendRequest(req, id))
+	w.lock()
+	defer w.unlock()
+	if w.ended() {
+		err = errServerTimeout
+	}
 	if err != nil {
 		conn.Discard()
-		if errors.Is(context.Cause(sendCtx), errServerTimeout) {
-			err = waxfleet.WrapError(errServerTimeout, waxfleet.CodeBackendDied, "no response within %d ms", timeout)
+		w.end(resultMayHaveRun)
+		if w.ended() {
+			err = waxfleet.WrapError(err, waxfleet.CodeBackendDied, "no response within %d ms", f.opts.Clock.Now()-req.sentAt)
 		}
 		return resultMayHaveRun, err
 	}
-	if timer != nil {
-		timer.Stop()
-	}
+	w.stop()
 	req.headerAt, req.framed, req.rollout.status = f.opts.Clock.Now(), resp.Framed(), resp.Status
 	release()
 	f.servers.recordActivity(req.entry)
@@ -81,7 +80,8 @@
 		f.releaseRejected(conn, resp)
 		return resultNotRun, waxfleet.NewError(waxfleet.CodeOverloaded, "%s responded with status %d without running the request", id, resp.Status)
 	}
-	res, err := f.relay(sendCtx, cancel, req, resp)
+	res, err := f.relay(sendCtx, req, resp)
+	w.end(res)
 	if res == resultComplete || res == resultServerFailure {
 		if stop() {
 			conn.Release(resp)
@@ -124,12 +124,12 @@
 		"limited", resp.Head.Limited, "per-second", resp.Head.RateLimit)
 }
 
-// errServerTimeout is the cause that cancels a send whose response timed out.
+// errServerTimeout is the cause that ends a send to a silent server for another one.
 var errServerTimeout = errors.New("timed out waiting for the backend server")
 
-// headerTimeout returns the timeout for the response header, after which another server
-// is tried. 0 means that the request waits until its deadline; it does if it can't be
-// retried.
+// headerTimeout returns the time without a response header after which the request goes to
+// another server, if there is one. 0 means that it waits until its deadline; it does if it
+// can't be retried.
 func (f *Forwarder) headerTimeout(req *requestState) waxfleet.Millis {
 	if !req.route.Retryable() || req.runs >= req.route.MaxAttempts() || req.route.LatencyObjective() <= 0 {
 		return 0
@@ -146,8 +146,8 @@
 	if req.route.Kind() == waxfleet.KindStream {
 		out.Priority = min(max(waxtable.Priority(req.route, req.workspace), 0), 9)
 	}
-	if req.response.lastEventID >= 0 {
-		out.LastEventID = req.response.lastEventID
+	if last := req.lastEvent(); last >= 0 {
+		out.LastEventID = last
 	}
 	return waxpool.Request{
 		ID: req.inbound.ID, Method: req.method, Target: req.target, Host: req.host,
--- a/waxfleet/waxforward/server.go
+++ b/waxfleet/waxforward/server.go
@@ -42,6 +42,8 @@
 	workAt  waxfleet.Millis
 	// pausedUntil is the end of the time for which the server wants no requests.
 	pausedUntil waxfleet.Millis
+	// probe is the last attempt to find out whether the server is there; nil before the first.
+	probe *reachProbe
 }
 
 // meanLoadTime is the time constant of the mean load of a server: several times the age of the
