waxcrash: order crashes of one millisecond by the time of the send

A caller that repeats a request which crashes its server could crash one server more: the ban after two crashes did not come.

Cause: crashes are counted as independent if the later request was sent after the earlier crash. They were sorted by the time of the crash alone. With both in the same millisecond, and the second one found first, the request that was sent earlier came last and did not count.

Change: crashes of the same time are sorted by the time of the send.

--- a/waxfleet/waxcrash/record.go
+++ b/waxfleet/waxcrash/record.go
@@ -39,7 +39,8 @@
 		return false
 	}
 	r.crashes = append(r.crashes, c)
-	slices.SortFunc(r.crashes, func(a, b crash) int { return cmp.Compare(a.at, b.at) })
+	// A request that is sent again at once may crash its server in the same millisecond.
+	slices.SortFunc(r.crashes, func(a, b crash) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.sentAt, b.sentAt)) })
 	if len(r.crashes) > maxCrashes {
 		r.crashes = r.crashes[len(r.crashes)-maxCrashes:]
 	}
