waxpool: break a response off whose request was reset while it was written

A caller got part of an answer as a complete one (MIXED, reported by the users): its server had answered a long upload at once without length and chunks, and reset the connection while the upload was being written.

Cause: the kernel reports the reset of a socket once. The goroutine that writes the request gets it, and the one that reads the response sees an orderly end; a server that lives then answers the probe that confirms the end. Ruled out: a FIN before the reset (the writer gets EPIPE then, and the response is whole), and an ignored read error (there is none).

Change: at the end of a close-delimited response, the write is ended and its result looked at; after ECONNRESET the response is broken off. Responses that state their end are not touched.

--- a/waxfleet/waxpool/conn.go
+++ b/waxfleet/waxpool/conn.go
@@ -144,6 +144,39 @@
 	return r.Length >= 0 || len(r.httpResponse.TransferEncoding) > 0 || r.httpResponse.Body == http.NoBody
 }
 
+// closeDelimitedBody is the body of a close-delimited response.
+type closeDelimitedBody struct {
+	reader io.Reader
+	resp   *Response
+}
+
+// Read implements io.Reader. The kernel reports the reset of a connection once: if the goroutine
+// that writes the request gets it, the connection seems to end in order here.
+//
+// Errors: CodeBackendDied when the connection was reset.
+func (b *closeDelimitedBody) Read(p []byte) (int, error) {
+	n, err := b.reader.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if writeErr := b.resp.endWrite(); errors.Is(writeErr, syscall.ECONNRESET) {
+		return n, waxfleet.WrapError(writeErr, waxfleet.CodeBackendDied, "connection was reset while the request was being written")
+	}
+	return n, err
+}
+
+// pastDeadline makes a write that waits for the server end at once.
+var pastDeadline = time.Unix(1, 0)
+
+// endWrite ends the writing of the request, and returns its result.
+func (r *Response) endWrite() error {
+	// An error means that the connection is closed, which ends the write, too.
+	_ = r.conn.SetWriteDeadline(pastDeadline)
+	err := <-r.writeResult
+	r.writeResult <- err
+	return err
+}
+
 // Probe is a request that a server answers without running work of callers.
 type Probe struct {
 	Target string
@@ -270,7 +303,7 @@
 		head := c.protocol.DecodeResponse(httpResp.StatusCode, httpResp.Header)
 		head.Close = head.Close || httpResp.Close
 		if head.ID == r.ID || head.ID == "" && (head.NotRun || head.Misdirected) {
-			return &Response{
+			resp := &Response{
 				Status:       httpResp.StatusCode,
 				Header:       httpResp.Header,
 				Head:         head,
@@ -280,7 +313,11 @@
 				sentPosition: c.sentPosition,
 				httpResponse: httpResp,
 				writeResult:  writeResult,
-			}, nil
+			}
+			if !resp.Framed() {
+				resp.Body = &closeDelimitedBody{reader: httpResp.Body, resp: resp}
+			}
+			return resp, nil
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(httpResp.Body, maxSkippedBodyBytes))
 		if err != nil || n == maxSkippedBodyBytes || head.Close || head.ID == "" {
