waxhead: read responses strictly, in all clients

Cause: net/http reads responses leniently. It keeps a name with a blank and does not interpret it, so that "Content-Length : 2" leaves a response without a length, and takes any three digits for a status; our reader took those below 200 for interim responses. Each client took what came without an error.

Change: waxhead is the one reader of heads. waxpool reads through ReadResponse; the store's client, waxdispatch with health checks and load reports, waxobject, waxreplica and waxctl through Transport, which also breaks off close-delimited bodies whose connection was reset during the upload. Refused are versions other than HTTP/1, statuses outside of 200 to 599, interim ones below 100 or 101, more than five of them, and names that are no tokens, in interim responses and trailers too.

--- a/waxctl/fleet.go
+++ b/waxctl/fleet.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxhead"
 	"waxwingdrift.org/waxfleet/waxwire/waxwireconnect"
 )
 
@@ -84,5 +85,11 @@
 func newPeerHTTPClient() *http.Client {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Client{Transport: &http.Transport{Protocols: protocols}}
+	return &http.Client{Transport: waxhead.NewTransport(&http.Transport{Protocols: protocols})}
+}
+
+// newInspectionHTTPClient returns a client for HTTP/1.1, the protocol of the routers on the users'
+// platform.
+func newInspectionHTTPClient() *http.Client {
+	return &http.Client{Transport: waxhead.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment})}
 }
--- a/waxctl/inspect.go
+++ b/waxctl/inspect.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"io"
-	"net/http"
 	"slices"
 	"strings"
 
@@ -122,8 +121,9 @@
 	if err != nil {
 		return nil, err
 	}
+	client := newInspectionHTTPClient()
 	return queryAll(ctx, a, "instance", instances, func(ctx context.Context, url string) (*waxwire.StateReply, error) {
-		resp, err := waxwireconnect.NewInspectionClient(http.DefaultClient, url).State(ctx, connect.NewRequest(&waxwire.StateRequest{}))
+		resp, err := waxwireconnect.NewInspectionClient(client, url).State(ctx, connect.NewRequest(&waxwire.StateRequest{}))
 		if err != nil {
 			return nil, err
 		}
--- a/waxctl/place.go
+++ b/waxctl/place.go
@@ -190,8 +190,9 @@
 			return nil, waxfleet.NewError(waxfleet.CodeObjectNotFound, "no instance %s is registered", f.instance)
 		}
 	}
+	client := newInspectionHTTPClient()
 	return queryAll(ctx, a, "instance", instances, func(ctx context.Context, url string) (*waxwire.PlaceReply, error) {
-		resp, err := waxwireconnect.NewInspectionClient(http.DefaultClient, url).Place(ctx, connect.NewRequest(head))
+		resp, err := waxwireconnect.NewInspectionClient(client, url).Place(ctx, connect.NewRequest(head))
 		if connect.CodeOf(err) == connect.CodeUnimplemented {
 			return nil, errors.New("its version does not know the question")
 		}
--- a/waxfleet/waxdispatch/call.go
+++ b/waxfleet/waxdispatch/call.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel/propagation"
 
 	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxhead"
 )
 
 const (
@@ -138,7 +139,7 @@
 // where a stalled connection can't be distinguished from a long generation and
 // would block the call for the generation timeout of 300 s. Responses of a plain service
 // that name no attempt can't be told from late ones on a pooled connection.
-func (c *callState) transport() *http.Transport {
+func (c *callState) transport() *waxhead.Transport {
 	unstreamedGeneration := c.isModelEngine() && !c.call.Stream
 	unidentified := !c.isModelEngine() && !c.pool.namesAttempts()
 	if c.call.AtMostOnce || unstreamedGeneration || unidentified || c.resuming() || c.attemptCount > 1 {
--- a/waxfleet/waxdispatch/dispatcher.go
+++ b/waxfleet/waxdispatch/dispatcher.go
@@ -17,6 +17,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxhead"
 )
 
 // maxLoadReportBytes bounds the body of a load report.
@@ -30,10 +31,10 @@
 	pools *poolCache
 	// unpooledTransport opens a new connection per request, for at-most-once calls,
 	// retries and resumes.
-	unpooledTransport *http.Transport
+	unpooledTransport *waxhead.Transport
 	// reportTransport and unpooledReportTransport are for load reports and probes.
-	reportTransport         *http.Transport
-	unpooledReportTransport *http.Transport
+	reportTransport         *waxhead.Transport
+	unpooledReportTransport *waxhead.Transport
 	tracer                  trace.Tracer
 }
 
@@ -101,7 +102,7 @@
 	return report, nil
 }
 
-func (d *Dispatcher) fetchLoad(ctx context.Context, t *http.Transport, b waxfleet.BackendServer) (waxfleet.LoadReport, error) {
+func (d *Dispatcher) fetchLoad(ctx context.Context, t *waxhead.Transport, b waxfleet.BackendServer) (waxfleet.LoadReport, error) {
 	ctx, cancel := d.withTimeout(ctx, d.opts.LoadTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+b.Address()+"/load", nil)
--- a/waxfleet/waxdispatch/exchange.go
+++ b/waxfleet/waxdispatch/exchange.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
 
 	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxhead"
 )
 
 // firstEventTimeouts is the number of progress timeouts that a call waits for its
@@ -26,7 +28,7 @@
 
 	connected atomic.Bool
 	reused    atomic.Bool
-	conn      atomic.Pointer[trackedConn]
+	conn      atomic.Pointer[net.Conn]
 	gotHeader atomic.Bool
 	gotEvent  atomic.Bool
 	// abortFailure is the failure that the monitor detected; nil if there is none.
@@ -41,9 +43,7 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			e.connected.Store(true)
 			e.reused.Store(info.Reused)
-			if conn, ok := info.Conn.(*trackedConn); ok {
-				e.conn.Store(conn)
-			}
+			e.conn.Store(&info.Conn)
 		},
 	})
 	go e.monitorProgress(ctx)
@@ -51,7 +51,7 @@
 }
 
 // roundTrip sends the request and waits for the response header.
-func (e *exchange) roundTrip(t *http.Transport, req *http.Request) (*http.Response, error) {
+func (e *exchange) roundTrip(t *waxhead.Transport, req *http.Request) (*http.Response, error) {
 	e.wait.begin(e.dispatcher.clock.Now())
 	defer e.wait.end()
 	resp, err := t.RoundTrip(req)
@@ -72,7 +72,7 @@
 func (e *exchange) closeConnection() {
 	e.cancel()
 	if conn := e.conn.Load(); conn != nil {
-		_ = conn.Close()
+		_ = (*conn).Close()
 	}
 }
 
--- a/waxfleet/waxdispatch/pool.go
+++ b/waxfleet/waxdispatch/pool.go
@@ -1,8 +1,6 @@
 package waxdispatch
 
 import (
-	"context"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -10,6 +8,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxhead"
 )
 
 const (
@@ -27,7 +26,7 @@
 // own, so that closing the idle connections of a failing server affects no
 // other.
 type serverPool struct {
-	transport *http.Transport
+	transport *waxhead.Transport
 
 	mu          sync.Mutex
 	incarnation string
@@ -89,25 +88,15 @@
 	return s
 }
 
-// trackedConn is a connection to a backend server. The exchange gets it from the client
-// trace, so that it can close exactly the connection that delivered a wrong response.
-type trackedConn struct{ net.Conn }
-
 // newTransport returns a transport with at most idlePerHost idle connections per
 // host; 0 opens a new connection for each request.
-func newTransport(dial DialFunc, idlePerHost int) *http.Transport {
-	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dial(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &trackedConn{conn}, nil
-		},
+func newTransport(dial DialFunc, idlePerHost int) *waxhead.Transport {
+	return waxhead.NewTransport(&http.Transport{
+		DialContext:            dial,
 		DisableKeepAlives:      idlePerHost == 0,
 		MaxIdleConnsPerHost:    idlePerHost,
 		IdleConnTimeout:        idleConnTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
+	})
 }
--- a/waxfleet/waxmember/links.go
+++ b/waxfleet/waxmember/links.go
@@ -10,6 +10,7 @@
 
 	"connectrpc.com/connect"
 
+	"waxwingdrift.org/waxfleet/waxhead"
 	"waxwingdrift.org/waxfleet/waxwire/waxwireconnect"
 )
 
@@ -149,10 +150,10 @@
 	return c
 }
 
-func newTransport(dial DialFunc, counter *ByteCounter) *http.Transport {
+func newTransport(dial DialFunc, counter *ByteCounter) *waxhead.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Transport{
+	return waxhead.NewTransport(&http.Transport{
 		Protocols: protocols,
 		HTTP2:     &http.HTTP2Config{SendPingTimeout: pingIdleTimeout, PingTimeout: pingTimeout},
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -162,5 +163,5 @@
 			}
 			return counter.Wrap(conn), nil
 		},
-	}
+	})
 }
--- a/waxfleet/waxnode/local.go
+++ b/waxfleet/waxnode/local.go
@@ -11,6 +11,7 @@
 	"connectrpc.com/connect"
 
 	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxhead"
 	"waxwingdrift.org/waxfleet/waxmember"
 	"waxwingdrift.org/waxfleet/waxobject"
 	"waxwingdrift.org/waxfleet/waxplace"
@@ -306,8 +307,8 @@
 	return n.byteCounter.Wrap(conn), nil
 }
 
-func (n *Node) controlTransport() *http.Transport {
-	return &http.Transport{DialContext: n.dialControl, MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
+func (n *Node) controlTransport() *waxhead.Transport {
+	return waxhead.NewTransport(&http.Transport{DialContext: n.dialControl, MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute})
 }
 
 // countedListener wraps accepted connections, so that their bytes are counted
--- a/waxfleet/waxobject/client.go
+++ b/waxfleet/waxobject/client.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxhead"
 )
 
 const (
@@ -64,11 +65,11 @@
 // httpClient is nil, a new one is used.
 func NewClient(baseURL, instance string, httpClient *http.Client) *Client {
 	if httpClient == nil {
-		httpClient = &http.Client{Transport: &http.Transport{
+		httpClient = &http.Client{Transport: waxhead.NewTransport(&http.Transport{
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     idleConnTimeout,
 			DisableCompression:  true,
-		}}
+		})}
 	}
 	return &Client{baseURL: strings.TrimSuffix(baseURL, "/"), instance: instance, httpClient: httpClient}
 }
@@ -332,8 +333,10 @@
 	r := response{status: resp.StatusCode, header: resp.Header}
 	if call.write {
 		// Status and ETag give the result of a write. The body is read only so that
-		// the connection can be reused.
-		_, _ = io.CopyN(io.Discard, resp.Body, waxfleet.MaxObjectBytes)
+		// the connection can be reused, and may be cut off, but not malformed.
+		if _, err := io.CopyN(io.Discard, resp.Body, waxfleet.MaxObjectBytes); waxfleet.CodeOf(err) == waxfleet.CodeAnswerMismatch {
+			return response{}, waxfleet.WrapError(err, waxfleet.CodePlatformUnknown, "the platform's response to a write is malformed")
+		}
 		return r, nil
 	}
 	r.body, err = io.ReadAll(io.LimitReader(resp.Body, call.maxBytes+1))
--- a/waxfleet/waxpool/conn.go
+++ b/waxfleet/waxpool/conn.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sys/unix"
 
 	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxhead"
 )
 
 const (
@@ -159,7 +160,7 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	if writeErr := b.resp.endWrite(); errors.Is(writeErr, syscall.ECONNRESET) {
+	if writeErr := b.resp.endWrite(); waxhead.IsReset(writeErr) {
 		return n, waxfleet.WrapError(writeErr, waxfleet.CodeBackendDied, "connection was reset while the request was being written")
 	}
 	return n, err
@@ -288,18 +289,18 @@
 func (c *Conn) readResponse(r Request, writeResult chan error) (*Response, error) {
 	for range maxMismatchedResponses + 1 {
 		c.limiter.remaining = maxHeadBytes
-		httpResp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method}) //nolint:bodyclose // Release or Discard end the body with the connection.
+		httpResp, err := waxhead.ReadResponse(c.reader, r.Method) //nolint:bodyclose // Release or Discard end the body with the connection.
 		headTooLarge := err != nil && c.limiter.remaining == 0
 		c.limiter.remaining = -1
 		if headTooLarge {
 			return nil, waxfleet.WrapError(err, waxfleet.CodeAnswerMismatch, "no response within %d bytes", maxHeadBytes)
 		}
+		if waxfleet.CodeOf(err) == waxfleet.CodeAnswerMismatch {
+			return nil, err
+		}
 		if err != nil {
 			return nil, waxfleet.WrapError(err, waxfleet.CodeBackendDied, "failed to read a response")
 		}
-		if httpResp.StatusCode < 200 {
-			continue
-		}
 		head := c.protocol.DecodeResponse(httpResp.StatusCode, httpResp.Header)
 		head.Close = head.Close || httpResp.Close
 		if head.ID == r.ID || head.ID == "" && (head.NotRun || head.Misdirected) {
--- a/waxfleet/waxreplica/server.go
+++ b/waxfleet/waxreplica/server.go
@@ -10,6 +10,7 @@
 	"connectrpc.com/connect"
 
 	"waxwingdrift.org/waxfleet"
+	"waxwingdrift.org/waxfleet/waxhead"
 	"waxwingdrift.org/waxfleet/waxwire"
 	"waxwingdrift.org/waxfleet/waxwire/waxwireconnect"
 )
@@ -71,12 +72,12 @@
 func NewClients() *Clients {
 	dialer := net.Dialer{Timeout: peerDialTimeout}
 	return &Clients{
-		http: &http.Client{Transport: &http.Transport{
+		http: &http.Client{Transport: waxhead.NewTransport(&http.Transport{
 			DialContext:         dialer.DialContext,
 			IdleConnTimeout:     peerIdleTimeout,
 			MaxIdleConnsPerHost: 4,
 			DisableCompression:  true,
-		}},
+		})},
 		clients: map[string]waxwireconnect.ReplicaClient{},
 	}
 }
