waxforward: refuse prompts that no engine has room for

Cause: the memory that the configuration names was used as a flag. Each engine rejects such a prompt as if it were full, which sent it to up to four engines, and brittle ones fall over because of rejections. Not the cause here: that the pause after a rejection is that of one instance; with the comparison alone nothing is rejected any more.

--- a/waxfleet/code.go
+++ b/waxfleet/code.go
@@ -51,6 +51,7 @@
 	CodeOriginUnknown     Code = 2015
 	CodeRouterFull        Code = 2016
 	CodeLoadShed          Code = 2017
+	CodePromptTooLarge    Code = 2018
 
 	CodeOutcomeUnknown   Code = 3001
 	CodeStreamIncomplete Code = 3002
@@ -118,6 +119,7 @@
 	CodeRequestTimeout:       {"request-timeout", http.StatusRequestTimeout, true},
 	CodeRouterFull:           {"router-full", http.StatusServiceUnavailable, true},
 	CodeLoadShed:             {"load-shed", http.StatusServiceUnavailable, true},
+	CodePromptTooLarge:       {"prompt-too-large", http.StatusServiceUnavailable, true},
 	CodeConfigStale:          {"config-stale", http.StatusServiceUnavailable, true},
 	CodeStopping:             {"stopping", http.StatusServiceUnavailable, true},
 	CodeTimeout:              {"timeout", http.StatusGatewayTimeout, false},
--- a/waxfleet/waxforward/forwarder.go
+++ b/waxfleet/waxforward/forwarder.go
@@ -281,6 +281,9 @@
 	if err := f.match(req); err != nil {
 		return err
 	}
+	if err := req.checkSize(); err != nil {
+		return err
+	}
 	req.intake.AnswerBy(req.deadline)
 	if err := f.readBody(req, r); err != nil {
 		return err
@@ -319,6 +322,17 @@
 	return nil
 }
 
+// checkSize returns an error if the prompt is larger than the memory of an engine of the service.
+// Each engine would reject the request as if it were full.
+func (req *requestState) checkSize() error {
+	spec, _ := req.table.Service(req.service)
+	if spec.KVCacheTokens <= 0 || req.inbound.PromptTokens <= spec.KVCacheTokens {
+		return nil
+	}
+	req.retryAfter = maxRateRetryAfter
+	return waxfleet.NewError(waxfleet.CodePromptTooLarge, "prompt of %d tokens, servers of %s hold %d", req.inbound.PromptTokens, req.service, spec.KVCacheTokens)
+}
+
 // authenticate sets the workspace that the API key belongs to. On routes
 // without authentication the key is optional and only sets the workspace.
 func (f *Forwarder) authenticate(req *requestState) error {
--- a/waxfleet/waxforward/place.go
+++ b/waxfleet/waxforward/place.go
@@ -86,6 +86,9 @@
 		out.Priority, out.Timeout = waxtable.Priority(req.route, req.workspace), req.deadline-req.arrivedAt
 		out.SharedTokens, out.PromptTokens = req.promptKey.SharedTokens(), req.inbound.PromptTokens
 		req.setTraits()
+		err = req.checkSize()
+	}
+	if err == nil {
 		err = req.banError(f.opts.Crashes.Peek(req.traits))
 	}
 	if err == nil {
