waxforward: keep the shares of bounds over restarts

Cause: the share of a bound belongs to an instance, and what was used of it to a process. A process that starts had its whole share of the retry slack anew, and full buckets for cold and limited servers; before it had read the registry, it took the bounds for its own alone.

Change: an instance whose entry is in the registry when it starts uses no slack for one window, and its buckets begin empty. No instance serves before it has read the registry.

--- a/waxfleet/waxforward/admission_test.go
+++ b/waxfleet/waxforward/admission_test.go
@@ -70,7 +70,7 @@
 func TestRejectionTakesNoPlace(t *testing.T) {
 	is := is.New(t)
 	clock := waxfleet.NewManualClock(10_000)
-	servers := NewServers(clock, testProtocol{}, waxpool.NewBudget(100))
+	servers := NewServers(clock, testProtocol{}, waxpool.NewBudget(100), func() bool { return false })
 	directory := waxdirectory.New(clock)
 	directory.ApplyList([]waxfleet.Record[waxfleet.BackendServerEntry]{{
 		Name: "engine-1", Revision: 1, Decoded: true,
--- a/waxfleet/waxforward/forwarder.go
+++ b/waxfleet/waxforward/forwarder.go
@@ -91,6 +91,8 @@
 	Bounds func() Bounds
 	// Instances returns the names of all router instances, including this one.
 	Instances func() []string
+	// Preceded reports whether an earlier process of this instance may have sent requests.
+	Preceded func() bool
 	// Stopping reports whether the instance is shutting down.
 	Stopping func() bool
 	// Admission decides which requests are rejected before they are sent. It may be nil, and
--- a/waxfleet/waxforward/peer_test.go
+++ b/waxfleet/waxforward/peer_test.go
@@ -114,7 +114,7 @@
 		clock := waxfleet.NewClock()
 		f := New(Options{
 			Clock: clock, Protocol: testProtocol{}, Log: slog.New(slog.DiscardHandler),
-			Servers: NewServers(clock, testProtocol{}, waxpool.NewBudget(1000)),
+			Servers: NewServers(clock, testProtocol{}, waxpool.NewBudget(1000), func() bool { return false }),
 		})
 		w := httptest.NewRecorder()
 		r := httptest.NewRequest(http.MethodPost, "/a", nil)
--- a/waxfleet/waxforward/place_test.go
+++ b/waxfleet/waxforward/place_test.go
@@ -81,7 +81,7 @@
 		Instance: "router-1", FailureDomain: "north", Clock: clock, Protocol: placeProtocol{}, Log: slog.New(slog.NewTextHandler(e.log, nil)),
 		Directory: waxdirectory.New(clock), Loads: e.loads, CacheIndex: waxcache.NewIndex(),
 		Crashes: waxcrash.New(clock, func(uint64) int { return 0 }), Limits: waxlimit.New(clock), Freshness: freshness,
-		Servers: NewServers(clock, placeProtocol{}, waxpool.NewBudget(1_000)),
+		Servers: NewServers(clock, placeProtocol{}, waxpool.NewBudget(1_000), func() bool { return false }),
 		Origins: waxorigin.NewStreams(clock), Versions: waxorigin.NewVersions(clock),
 		InstancesUnreachable: func(string) bool { return false }, HearsFleet: func() bool { return true },
 		FlushUpdates: func() { e.flushes++ },
--- a/waxfleet/waxforward/predict_test.go
+++ b/waxfleet/waxforward/predict_test.go
@@ -65,7 +65,7 @@
 // and against requests that count in full although most of them has been received.
 func TestWorkOfFlights(t *testing.T) {
 	clock := waxfleet.NewManualClock(1_000)
-	s := NewServers(clock, nil, nil)
+	s := NewServers(clock, nil, nil, func() bool { return false })
 	subject := waxcost.Subject{Service: "s", Route: "r", Workspace: "w"}
 	for range 20 {
 		s.cost.costs.Record(clock.Now(), subject, 100, 0)
--- a/waxfleet/waxforward/retry.go
+++ b/waxfleet/waxforward/retry.go
@@ -226,7 +226,11 @@
 }
 
 func (f *Forwarder) takeRetryToken(req *requestState) bool {
-	return f.servers.takeRetryToken(req.service, f.opts.Bounds().Retry, len(f.opts.Instances()))
+	bound := f.opts.Bounds().Retry
+	if f.opts.Preceded() {
+		bound = bound.AfterStart(f.opts.Clock.Now() - f.startedAt)
+	}
+	return f.servers.takeRetryToken(req.service, bound, len(f.opts.Instances()))
 }
 
 // finalError returns the error of a request whose last send failed and can't be retried.
--- a/waxfleet/waxforward/server.go
+++ b/waxfleet/waxforward/server.go
@@ -103,10 +103,13 @@
 	// linkChecks counts the calls of linkTargets; each begins with other servers.
 	linkChecks uint32
 	cost       costState
+	startedAt  waxfleet.Millis
+	preceded   func() bool
 }
 
-// NewServers returns a Servers without any server. budget is that of connections to servers.
-func NewServers(clock *waxfleet.Clock, protocol waxfleet.Protocol, budget *waxpool.Budget) *Servers {
+// NewServers returns a Servers without any server. budget is that of connections to servers, and
+// preceded reports whether an earlier process of this instance may have sent requests.
+func NewServers(clock *waxfleet.Clock, protocol waxfleet.Protocol, budget *waxpool.Budget, preceded func() bool) *Servers {
 	return &Servers{
 		clock:    clock,
 		protocol: protocol,
@@ -115,6 +118,9 @@
 		services: map[string]*serviceState{},
 		domains:  map[string]*domainState{},
 		cost:     newCostState(clock),
+
+		startedAt: clock.Now(),
+		preceded:  preceded,
 	}
 }
 
@@ -191,6 +197,10 @@
 		incarnationHash: waxcache.IncarnationHash(id, e.StartUnixMilli()),
 		pool:            waxpool.New(s.clock, s.protocol, s.budget, e.Server().Address(), connections),
 	}
+	if s.clock.Now()-s.startedAt < limitWindow && s.preceded() {
+		state.coldBucket = waxquota.NewEmptyTokenBucket(s.clock.Now())
+		state.limitBucket = waxquota.NewEmptyTokenBucket(s.clock.Now())
+	}
 	if spare {
 		state.pool.KeepSpares(max(s.clock.Now()+firstSpareDuration, s.serviceState(e.Server().Service()).spareUntil))
 	}
--- a/waxfleet/waxfront/instance.go
+++ b/waxfleet/waxfront/instance.go
@@ -152,7 +152,7 @@
 	inst.bounds.Store(&settings.Bounds)
 	inst.roster = waxroster.New(opts.Clock, settings.Instance, func() waxfleet.Millis { return inst.bounds.Load().TerminationGrace })
 	inst.directory = waxdirectory.New(opts.Clock)
-	inst.servers = waxforward.NewServers(opts.Clock, opts.Protocol, waxpool.NewBudget(waxintake.BackendConnections(settings.MaxOpenFiles)))
+	inst.servers = waxforward.NewServers(opts.Clock, opts.Protocol, waxpool.NewBudget(waxintake.BackendConnections(settings.MaxOpenFiles)), inst.roster.Preceded)
 	inst.loads = waxpeer.NewLoads(opts.Clock, settings.FailureDomain)
 	inst.cacheIndex = waxcache.NewIndex()
 	inst.crashes = waxcrash.New(opts.Clock, inst.trialRank)
@@ -209,6 +209,7 @@
 		Table:      inst.servingTable,
 		Bounds:     inst.forwardBounds,
 		Instances:  inst.Instances,
+		Preceded:   inst.roster.Preceded,
 		Stopping:   inst.stopping.Load,
 		Admission:  inst.admission,
 		Observe:    inst.metrics.observe,
@@ -288,9 +289,10 @@
 }
 
 // servingTable returns the configuration that requests are served by; nil while there is none,
-// or while this instance has not read which versions of software may get requests.
+// or while this instance has not read which versions of software may get requests, or with how
+// many others it shares the limits of the fleet.
 func (inst *Instance) servingTable() *waxtable.Table {
-	if inst.rollouts != nil && !inst.rollouts.caughtUp.Load() {
+	if inst.rollouts != nil && !inst.rollouts.caughtUp.Load() || !inst.roster.Read() {
 		return nil
 	}
 	return inst.table.Load()
@@ -426,6 +428,8 @@
 		return false, "no list of rollouts"
 	case !inst.directory.EvacuationsLoaded():
 		return false, "no list of evacuations"
+	case !inst.roster.Read():
+		return false, "no list of instances"
 	case !inst.freshness.Fresh():
 		return false, "configuration not confirmed"
 	}
--- a/waxfleet/waxquota/shares.go
+++ b/waxfleet/waxquota/shares.go
@@ -120,6 +120,12 @@
 	initialized bool
 }
 
+// NewEmptyTokenBucket returns a bucket that starts empty, because an earlier process may have
+// taken its tokens just now.
+func NewEmptyTokenBucket(now waxfleet.Millis) TokenBucket {
+	return TokenBucket{lastRefill: now, initialized: true}
+}
+
 // Take takes one token. It reports false if there is none. The bucket is
 // refilled with perSecond tokens per second, up to burst tokens.
 func (b *TokenBucket) Take(now waxfleet.Millis, perSecond float64, burst int) bool {
@@ -159,6 +165,15 @@
 	Window waxfleet.Millis
 }
 
+// AfterStart returns the bound for a process that started uptime ago. The process before it may
+// have used the share of the slack within the window.
+func (b RetryBound) AfterStart(uptime waxfleet.Millis) RetryBound {
+	if uptime < b.Window {
+		b.Slack = 0
+	}
+	return b
+}
+
 // unusedRetryShare is the share of the bound that is left unused, because the
 // windows of one instance don't coincide with those over which the bound is
 // checked.
--- a/waxfleet/waxquota/shares_test.go
+++ b/waxfleet/waxquota/shares_test.go
@@ -83,6 +83,79 @@
 	})
 }
 
+// TestBucketOverRestarts guards against a bucket that grants more than its burst and refill in
+// any second because the process that holds it starts again.
+func TestBucketOverRestarts(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		rate := rapid.Float64Range(0.5, 5).Draw(rt, "rate")
+		var b TokenBucket
+		var taken []waxfleet.Millis
+		now := waxfleet.Millis(1)
+		for range 300 {
+			now += waxfleet.Millis(rapid.IntRange(0, 200).Draw(rt, "step"))
+			if rapid.IntRange(0, 5).Draw(rt, "restart") == 0 {
+				b = NewEmptyTokenBucket(now)
+			}
+			if b.Take(now, rate, 1) {
+				taken = append(taken, now)
+			}
+		}
+		for i, start := range taken {
+			n := 0
+			for _, at := range taken[i:] {
+				if at < start+1000 {
+					n++
+				}
+			}
+			if float64(n) > rate+1+1e-6 {
+				rt.Fatalf("%d tokens granted in one second at a rate of %.2f", n, rate)
+			}
+		}
+	})
+}
+
+// TestRetryBudgetsOverRestarts guards against more retries than the bound allows because
+// instances that start again forget what they have used.
+func TestRetryBudgetsOverRestarts(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 20).Draw(rt, "instances")
+		b := RetryBound{Ratio: 0.2, Slack: 54, Window: 10_000}
+		budgets, startedAt := make([]RetryBudget, n), make([]waxfleet.Millis, n)
+		now := b.Window
+		var requests, retries []waxfleet.Millis
+		for range 400 {
+			now += waxfleet.Millis(rapid.IntRange(0, 100).Draw(rt, "step"))
+			i := rapid.IntRange(0, n-1).Draw(rt, "instance")
+			if rapid.IntRange(0, 9).Draw(rt, "restart") == 0 {
+				budgets[i], startedAt[i] = RetryBudget{}, now
+			}
+			budgets[i].RecordRequest(now, b.Window)
+			requests = append(requests, now)
+			for range 4 {
+				if budgets[i].TryRetry(now, b.AfterStart(now-startedAt[i]), n) {
+					retries = append(retries, now)
+				}
+			}
+		}
+		for i, end := range retries {
+			sent, retried := 0, 0
+			for _, at := range requests {
+				if at > end-b.Window && at <= end {
+					sent++
+				}
+			}
+			for _, at := range retries[:i+1] {
+				if at > end-b.Window {
+					retried++
+				}
+			}
+			if float64(retried) > b.Ratio*float64(sent)+b.Slack {
+				rt.Fatalf("%d retries for %d requests", retried, sent)
+			}
+		}
+	})
+}
+
 // TestRetryBudgetsStayBelowTheBound guards against more retries by all instances than the
 // bound in some window, while every request to a service fails.
 func TestRetryBudgetsStayBelowTheBound(t *testing.T) {
--- a/waxfleet/waxroster/roster.go
+++ b/waxfleet/waxroster/roster.go
@@ -58,6 +58,8 @@
 	// names holds the names of the instances that have not ended.
 	names []string
 	read  bool
+	// preceded is true if the registry held an entry of this instance when it was read first.
+	preceded bool
 }
 
 // New returns the roster of the instance self, which lists that one alone until the registry is
@@ -75,6 +77,7 @@
 	if !b.Full {
 		maps.Copy(r.members, before)
 	}
+	first := b.Full && !r.read
 	r.read = r.read || b.Full
 	for _, record := range b.Records {
 		if record.Deleted || !record.Decoded {
@@ -91,6 +94,9 @@
 		}
 		r.members[record.Name] = m
 	}
+	if first {
+		_, r.preceded = r.members[r.self]
+	}
 	r.refresh()
 }
 
@@ -158,6 +164,21 @@
 	r.members[r.self] = Member{name: r.self, entry: entry, stoppingSince: r.clock.Now()}
 }
 
+// Read reports whether the registry was read.
+func (r *Roster) Read() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.read
+}
+
+// Preceded reports whether an earlier process of this instance may have sent requests, as far as
+// known: the registry was not read, or it held an entry of the instance.
+func (r *Roster) Preceded() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.read || r.preceded
+}
+
 // Alone reports whether the registry was read and lists no other instance.
 func (r *Roster) Alone() bool {
 	r.mu.Lock()
--- a/waxfleet/waxroster/roster_test.go
+++ b/waxfleet/waxroster/roster_test.go
@@ -18,10 +18,12 @@
 // processes that kept them.
 func TestRoster(t *testing.T) {
 	clock := waxfleet.NewManualClock(1_000_000)
-	r := New(clock, "r1", func() waxfleet.Millis { return testGrace })
+	var r *Roster
 	revision := uint64(0)
 	datadriven.RunTest(t, "testdata/roster", func(t *testing.T, d *datadriven.TestData) string {
 		switch d.Cmd {
+		case "start":
+			r = New(clock, "r1", func() waxfleet.Millis { return testGrace })
 		case "list", "changes":
 			revision++
 			b := waxfleet.Batch[waxfleet.PeerEntry]{Full: d.Cmd == "list", Revision: waxfleet.NewRevision(0, revision)}
@@ -62,6 +64,6 @@
 		leftBehind = append(leftBehind, fmt.Sprintf("%s@%v", m.Name(), m.Revision()))
 	}
 	own, read := r.Own()
-	return fmt.Sprintf("names %v, present %v, alone %v\nown %v stopping=%v read=%v, left behind %v\n",
-		r.Names(), present, r.Alone(), own.Revision(), own.Entry().Stopping, read, leftBehind)
+	return fmt.Sprintf("names %v, present %v, alone %v\nown %v stopping=%v read=%v preceded=%v, left behind %v\n",
+		r.Names(), present, r.Alone(), own.Revision(), own.Entry().Stopping, read, r.Preceded(), leftBehind)
 }
