waxcrash: tell of trials, and count crashes that are alike

Cause, first: an instance that tries a banned trait told the others the result alone. They are due half a second later and tried, too, while the first trial was on its way to its crash. Second: a crash counts only if its request was sent after an earlier crash. If the request is at all engines before the first one crashes, the ban comes a round later. Ruled out as the cause of the late ban: crashes that are not counted because no other engine is reached; they come after the ban is due.

Change: trials travel in the datagrams (LoadDatagram.trials), and hold others back as long as another crash would. Crashes count as well if four or more, and half of all, come the same time after their requests were sent, one after the other over four times the spread of these times.

--- a/waxfleet/waxcrash/ledger.go
+++ b/waxfleet/waxcrash/ledger.go
@@ -20,6 +20,11 @@
 	// crash: it is more likely in use by many requests than the cause.
 	banThreshold         = 2
 	banThresholdAnswered = 4
+	// minAlike is the minimum number of crashes that are alike: they are spread over
+	// minAlikeSpread, and over alikeFactor x the spread of their times from send to crash.
+	minAlike                       = 4
+	alikeFactor                    = 4
+	minAlikeSpread waxfleet.Millis = 100
 	// answerTTL is the time for which an answer is remembered.
 	answerTTL waxfleet.Millis = 60_000
 	// minTrialDelay is the time after the crash that led to a ban at which the trait is
@@ -32,8 +37,11 @@
 	manyCrashes                      = 5
 	manyCrashesDelay waxfleet.Millis = 90_000
 	// trialStagger is the delay between the instances that may try a trait, so that one
-	// of them tries first and the others hear of the result.
+	// of them tries first and the others hear of the trial.
 	trialStagger waxfleet.Millis = 500
+	// sameTrialPeriod is the time within which two reports are of the same trial. It is short
+	// compared with minTrialDelay.
+	sameTrialPeriod waxfleet.Millis = 2_000
 	// maxRecords is the maximum number of traits with evidence, maxCrashes that of
 	// crashes per trait, and maxAnswers that of traits whose answers are remembered.
 	maxRecords = 5_000
@@ -50,6 +58,12 @@
 	wallSentAt waxfleet.Millis
 }
 
+// trial is a request with a banned trait that an instance has sent.
+type trial struct {
+	trait uint64
+	at    waxfleet.Millis
+}
+
 // Ledger holds the evidence known to this instance. It is safe for concurrent use.
 type Ledger struct {
 	clock *waxfleet.Clock
@@ -61,6 +75,7 @@
 	// bans holds the number of independent crashes of each banned trait.
 	bans    map[uint64]int
 	updates waxgossip.Queue[event]
+	trials  waxgossip.Queue[trial]
 }
 
 // New returns an empty ledger. rank returns the position of this instance among those
@@ -185,7 +200,7 @@
 		var top *record
 		most := 0
 		for _, r := range open {
-			n := r.independentCrashes(explained)
+			n := r.evidence(explained)
 			if _, banned := bans[r.trait.hash]; banned || n < r.banThreshold() {
 				continue
 			}
@@ -263,8 +278,9 @@
 	}
 	for _, r := range due {
 		r.trialAt, r.tried = now, true
+		l.trials.AddAll(trial{trait: r.trait.hash, at: now})
 	}
-	return Verdict{}
+	return Verdict{trial: len(due) > 0}
 }
 
 // trialAt returns the time at which this instance may try a banned trait again.
@@ -284,6 +300,36 @@
 	return l.bans[t.hash]
 }
 
+// MergeTrials adds the trials of other instances, and queues those that are new for the scope. It
+// reports whether there were any.
+func (l *Ledger) MergeTrials(trials []Trial, scope waxgossip.Scope) (updated bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	for _, v := range trials {
+		r, at := l.records[v.trait], now-v.ago
+		if r == nil || r.tried && at < r.trialAt+sameTrialPeriod {
+			continue
+		}
+		r.trialAt, r.tried = at, true
+		l.trials.Add(scope, trial{trait: v.trait, at: at})
+		updated = true
+	}
+	return updated
+}
+
+// NextTrials returns at most limit trials for the next datagram of the scope.
+func (l *Ledger) NextTrials(scope waxgossip.Scope, limit int) []Trial {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	var out []Trial
+	for _, t := range l.trials.Next(scope, limit) {
+		out = append(out, NewTrial(t.trait, now-t.at))
+	}
+	return out
+}
+
 // NextReports returns at most limit reports for the next datagram of the scope.
 func (l *Ledger) NextReports(scope waxgossip.Scope, limit int) []Report {
 	l.mu.Lock()
--- a/waxfleet/waxcrash/ledger_test.go
+++ b/waxfleet/waxcrash/ledger_test.go
@@ -127,10 +127,15 @@
 		idle := true
 		for _, from := range s.names() {
 			reports := s.ledgers[from].NextReports(waxgossip.ScopeGroup, 1_000)
-			idle = idle && len(reports) == 0
+			trials := s.ledgers[from].NextTrials(waxgossip.ScopeGroup, 1_000)
+			idle = idle && len(reports)+len(trials) == 0
 			s.clock.Advance(5) // time in transit, which the ages do not include
 			for _, to := range s.names() {
-				if to == from || len(reports) == 0 {
+				if to == from {
+					continue
+				}
+				s.ledgers[to].MergeTrials(trials, waxgossip.ScopeRemote)
+				if len(reports) == 0 {
 					continue
 				}
 				if _, changes := s.ledgers[to].Merge(reports, waxgossip.ScopeRemote); len(changes) > 0 {
--- a/waxfleet/waxcrash/record.go
+++ b/waxfleet/waxcrash/record.go
@@ -28,7 +28,7 @@
 	// answeredAt is the time of the latest known answer; answered is false without one.
 	answeredAt waxfleet.Millis
 	answered   bool
-	// trialAt is the time of the latest trial by this instance; tried is false before it.
+	// trialAt is the time of the latest known trial by any instance; tried is false before it.
 	trialAt waxfleet.Millis
 	tried   bool
 }
@@ -77,6 +77,47 @@
 	return n
 }
 
+// alike reports whether crashes that are neither explained by another trait nor independent are
+// still the effect of the trait: at least half of the servers crashed the same time after their
+// request was sent, and they crashed one after the other. Servers that fail together fail at the
+// same time, however long their requests have been running. A server that has several requests
+// with the trait crashes because of the first one, and may be reported with a later one.
+func (r *record) alike(explained map[uint64]bool) bool {
+	var crashes []crash
+	for _, c := range r.crashes {
+		if r.counts(c) && !explained[c.server] {
+			crashes = append(crashes, c)
+		}
+	}
+	need := max(minAlike, r.banThreshold(), (len(crashes)+1)/2)
+	if len(crashes) < need {
+		return false
+	}
+	delay := func(c crash) waxfleet.Millis { return c.at - c.sentAt }
+	slices.SortFunc(crashes, func(a, b crash) int { return cmp.Compare(delay(a), delay(b)) })
+	for i := range len(crashes) - need + 1 {
+		group := crashes[i : i+need]
+		first, last := group[0].at, group[0].at
+		for _, c := range group {
+			first, last = min(first, c.at), max(last, c.at)
+		}
+		if last-first >= max(minAlikeSpread, alikeFactor*(delay(group[need-1])-delay(group[0]))) {
+			return true
+		}
+	}
+	return false
+}
+
+// evidence returns the number of crashes that decide on a ban: independent ones, or as many as a
+// ban needs if the crashes are alike.
+func (r *record) evidence(explained map[uint64]bool) int {
+	n := r.independentCrashes(explained)
+	if n < r.banThreshold() && r.alike(explained) {
+		return r.banThreshold()
+	}
+	return n
+}
+
 // banThreshold returns the number of independent crashes at which the trait is banned.
 func (r *record) banThreshold() int {
 	i := slices.IndexFunc(r.crashes, r.counts)
--- a/waxfleet/waxcrash/report.go
+++ b/waxfleet/waxcrash/report.go
@@ -33,6 +33,22 @@
 // Ago returns the time since the crash or the answer.
 func (r Report) Ago() waxfleet.Millis { return r.ago }
 
+// Trial is a request with a banned trait, as instances tell each other of it: one of them sends
+// it, to find out whether it still crashes servers, and the others wait for the result.
+type Trial struct {
+	trait uint64
+	ago   waxfleet.Millis
+}
+
+// NewTrial returns a trial of the trait with a hash. ago is the time since the request was sent.
+func NewTrial(trait uint64, ago waxfleet.Millis) Trial { return Trial{trait: trait, ago: max(ago, 0)} }
+
+// Trait returns the hash of the trait.
+func (t Trial) Trait() uint64 { return t.trait }
+
+// Ago returns the time since the request was sent.
+func (t Trial) Ago() waxfleet.Millis { return t.ago }
+
 // Change is a trait that was banned or released.
 type Change struct {
 	trait   Trait
@@ -51,15 +67,19 @@
 
 // Verdict says whether a request may be sent.
 type Verdict struct {
-	banned     bool
-	trait      Trait
-	crashes    int
-	retryAfter waxfleet.Millis
+	banned, trial bool
+	trait         Trait
+	crashes       int
+	retryAfter    waxfleet.Millis
 }
 
 // Banned reports whether the request must not be sent.
 func (v Verdict) Banned() bool { return v.banned }
 
+// Trial reports whether the request is a trial of a banned trait, of which other instances have
+// to hear.
+func (v Verdict) Trial() bool { return v.trial }
+
 // Trait returns the trait that is banned.
 func (v Verdict) Trait() Trait { return v.trait }
 
--- a/waxfleet/waxforward/suspect.go
+++ b/waxfleet/waxforward/suspect.go
@@ -62,7 +62,12 @@
 		return nil
 	}
 	req.runsAtCheck = req.runs
-	return req.banError(f.opts.Crashes.Check(req.traits))
+	v := f.opts.Crashes.Check(req.traits)
+	if v.Trial() {
+		f.opts.FlushUpdates()
+		f.opts.Log.Info("banned trait is tried", "request", req.inbound.ID, "digest", req.digest, "traits", traitNames(req.traits))
+	}
+	return req.banError(v)
 }
 
 // banError returns the error of a request that a verdict bans, and sets its Retry-After delay.
--- a/waxfleet/waxpeer/exchanger.go
+++ b/waxfleet/waxpeer/exchanger.go
@@ -56,6 +56,9 @@
 	// maxReports is the maximum number of crash reports in a datagram; each takes up to 35
 	// bytes. A crash brings up to four for each request that was beginning at the server.
 	maxReports = 36
+	// maxTrials is the maximum number of trials of banned traits in a datagram; each takes about
+	// 15 bytes.
+	maxTrials = 40
 	// maxLimits is the maximum number of rate limits in a datagram; each takes up to 25
 	// bytes.
 	maxLimits = 40
@@ -253,6 +256,7 @@
 	}
 	updated, changes := e.opts.Crashes.Merge(decodeReports(d), scope)
 	waxcrash.LogChanges(e.opts.Log, changes)
+	tried := e.opts.Crashes.MergeTrials(decodeTrials(d), scope)
 	limitsChanged := e.opts.Limits.Merge(decodeLimits(d), scope)
 	if len(d.GetRollouts()) > 0 && e.opts.MergeRollouts != nil {
 		e.opts.MergeRollouts(d.GetRollouts(), scope)
@@ -260,7 +264,7 @@
 	if e.opts.ServerLoads != nil {
 		e.opts.ServerLoads.Merge(decodeStatedLoads(d), scope)
 	}
-	if (added || updated || limitsChanged) && scope == waxgossip.ScopeGroup {
+	if (added || updated || tried || limitsChanged) && scope == waxgossip.ScopeGroup {
 		e.Flush()
 	}
 	if d.GetSequence() == 0 {
@@ -355,10 +359,13 @@
 	return out
 }
 
-// sendQueued sends the crash reports and rate limits that are queued for the scope.
+// sendQueued sends the crash reports, trials and rate limits that are queued for the scope.
 func (e *Exchanger) sendQueued(peers []Peer, scope waxgossip.Scope) {
 	for range maxReportDatagrams {
 		reports, limits := e.opts.Crashes.NextReports(scope, maxReports), e.opts.Limits.Next(scope, maxLimits)
+		if trials := e.opts.Crashes.NextTrials(scope, maxTrials); len(trials) > 0 {
+			e.sendTo(peers, e.newTrialsDatagram(trials, scope))
+		}
 		if len(reports) > 0 {
 			e.sendTo(peers, e.newReportsDatagram(reports, scope))
 		}
@@ -426,6 +433,24 @@
 	return reports
 }
 
+// newTrialsDatagram returns a datagram with trials of banned traits and without counts.
+func (e *Exchanger) newTrialsDatagram(trials []waxcrash.Trial, scope waxgossip.Scope) *waxwire.LoadDatagram {
+	d := e.newEntriesDatagram(nil, scope)
+	for _, t := range trials {
+		d.Trials = append(d.Trials, &waxwire.Trial{Trait: t.Trait(), AgoMs: int64(t.Ago())})
+	}
+	return d
+}
+
+// decodeTrials returns the trials of banned traits of a datagram.
+func decodeTrials(d *waxwire.LoadDatagram) []waxcrash.Trial {
+	trials := make([]waxcrash.Trial, 0, len(d.GetTrials()))
+	for _, v := range d.GetTrials() {
+		trials = append(trials, waxcrash.NewTrial(v.GetTrait(), waxfleet.Millis(v.GetAgoMs())))
+	}
+	return trials
+}
+
 // newEntriesDatagram returns a datagram with cache entries and without counts.
 func (e *Exchanger) newEntriesDatagram(entries []waxcache.Entry, scope waxgossip.Scope) *waxwire.LoadDatagram {
 	d := e.newDatagram(entries, false)
@@ -562,6 +587,7 @@
 		entries := e.opts.CacheIndex.NextUpdates(waxgossip.ScopeRemote, maxEntries)
 		if !t.Gateway || len(t.Remote) == 0 {
 			e.opts.Crashes.NextReports(waxgossip.ScopeRemote, maxReports*maxReportDatagrams)
+			e.opts.Crashes.NextTrials(waxgossip.ScopeRemote, maxTrials*maxReportDatagrams)
 			e.opts.Limits.Next(waxgossip.ScopeRemote, maxLimits*maxReportDatagrams)
 			e.nextStatedLoads(waxgossip.ScopeRemote, maxFurtherStatedLoads*maxReportDatagrams)
 			continue
