waxforward: wait for memory for large stream events

Cause: an event is buffered until it is whole, up to 256 KiB for each stream, and growing its buffer left as much garbage again. No account counted it, since the request was under way and nothing could be closed for it. Ruled out: the connections' own buffers (the kernel's don't count there) and answers of a known length, which the account counts.

Change: an event of more than 16 KiB waits for a buffer of 258 KiB out of half of the account of memory, takes it from a pool, and gives it back when the caller has taken the event. What waits is not ended. The server does not count as silent while this instance has no room. A stream that another server continues takes its buffer unreserved until it has taken over, because the silent one may hold the room it would wait for.

Open: while callers that read nothing hold all buffers, large events of other streams wait until the deadlines of the former.

--- a/waxfleet/waxforward/events_fuzz_test.go
+++ b/waxfleet/waxforward/events_fuzz_test.go
@@ -40,7 +40,8 @@
 }
 
 func readEvents(src io.Reader) ([][]byte, error) {
-	r := newEventReader(src)
+	r := newEventReader(src, new(buffers).reserve)
+	defer r.close()
 	var out [][]byte
 	for {
 		event, _, err := r.next()
--- a/waxfleet/waxforward/events_test.go
+++ b/waxfleet/waxforward/events_test.go
@@ -13,9 +13,25 @@
 	"waxwingdrift.org/waxfleet"
 )
 
+// buffers counts the buffers that are reserved.
+type buffers struct {
+	reserved, most int
+	err            error
+}
+
+func (b *buffers) reserve() (func(), error) {
+	if b.err != nil {
+		return nil, b.err
+	}
+	b.reserved++
+	b.most = max(b.most, b.reserved)
+	return func() { b.reserved-- }, nil
+}
+
 // collect reads all events of a stream and the error that ended it.
 func collect(r io.Reader) (events []string, ids []int64, err error) {
-	e := newEventReader(r)
+	e := newEventReader(r, new(buffers).reserve)
+	defer e.close()
 	for {
 		event, id, err := e.next()
 		if err != nil {
@@ -66,6 +82,65 @@
 	})
 }
 
+// TestLargeEvents guards against streams that keep the memory of a large event, or that hold
+// one that was not reserved, and against events that change on the way.
+func TestLargeEvents(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var stream []string
+		for _, size := range rapid.SliceOfN(rapid.SampledFrom([]int{1, 100, smallEventBytes - 100, smallEventBytes, 100_000, maxEventBytes - 100}), 1, 8).Draw(rt, "sizes") {
+			stream = append(stream, "data: "+strings.Repeat("x", size)+"\n\n")
+		}
+		b := &buffers{}
+		e := newEventReader(strings.NewReader(strings.Join(stream, "")), b.reserve)
+		for i, want := range stream {
+			event, _, err := e.next()
+			if err != nil || string(event) != want {
+				rt.Fatalf("event %d has %d bytes instead of %d: %v", i, len(event), len(want), err)
+			}
+			switch {
+			case len(want) > smallEventBytes && b.reserved == 0:
+				rt.Fatalf("no buffer is reserved for an event of %d bytes", len(want))
+			case len(want) <= smallEventBytes/2 && b.reserved > 0:
+				rt.Fatalf("a buffer is reserved for an event of %d bytes", len(want))
+			}
+			if b.reserved == 0 && cap(e.buf) > 2*smallEventBytes {
+				rt.Fatalf("a buffer of %d bytes is not reserved", cap(e.buf))
+			}
+		}
+		if _, _, err := e.next(); !errors.Is(err, io.EOF) {
+			rt.Fatalf("stream ended with %v", err)
+		}
+		e.close()
+		if b.reserved != 0 || b.most > 1 {
+			rt.Fatalf("%d buffers are still reserved; there were %d at once", b.reserved, b.most)
+		}
+	})
+	is := is.New(t)
+	refused := errors.New("no room")
+	e := newEventReader(&countingReader{}, (&buffers{err: refused}).reserve)
+	_, _, err := e.next()
+	is.Equal(err, refused)
+	e.close()
+}
+
+// TestPausedWatch guards against taking a server for silent while this instance has no room
+// for its event.
+func TestPausedWatch(t *testing.T) {
+	is := is.New(t)
+	clock := waxfleet.NewManualClock(0)
+	w := &silenceWatch{f: &Forwarder{opts: Options{Clock: clock}}, ctx: t.Context(), gap: 300, phase: phaseEvents}
+	w.pause()
+	clock.Advance(5_000)
+	w.lock()
+	is.Equal(w.checkEvents(), w.gap)
+	w.unlock()
+	w.resume()
+	clock.Advance(100)
+	w.lock()
+	is.Equal(w.checkEvents(), w.gap-100)
+	w.unlock()
+}
+
 // TestEndlessEvent guards against memory and processor time that grow with an event
 // without end.
 func TestEndlessEvent(t *testing.T) {
--- a/waxfleet/waxforward/relay.go
+++ b/waxfleet/waxforward/relay.go
@@ -198,7 +198,8 @@
 // relayStream relays each event of a stream once it is complete. It skips events that the
 // caller has already received from an earlier server.
 func (f *Forwarder) relayStream(ctx context.Context, req *requestState, resp *waxpool.Response) (result, error) {
-	events := newEventReader(resp.Body)
+	events := newEventReader(resp.Body, func() (func(), error) { return f.reserveEvent(ctx, req) })
+	defer events.close()
 	newest := int64(-1)
 	req.watch.awaitEvents()
 	for {
@@ -252,6 +253,22 @@
 	}
 }
 
+// reserveEvent waits for room for a large event. The server does not count as silent meanwhile.
+func (f *Forwarder) reserveEvent(ctx context.Context, req *requestState) (release func(), err error) {
+	if req.takeOver != nil {
+		// The silent server may hold the room that the other one would wait for.
+		return func() {}, nil
+	}
+	req.watch.pause()
+	defer req.watch.resume()
+	started := f.opts.Clock.Now()
+	release, err = req.intake.ReserveBuffer(ctx, largeEventBytes)
+	if waited := f.opts.Clock.Now() - started; waited >= minLoggedWait {
+		f.opts.Log.Info("large event waited for memory", "request", req.inbound.ID, "waited-ms", int64(waited))
+	}
+	return release, err
+}
+
 // takeStream makes the caller's stream go on at the server of the request. It returns an error
 // if the server before goes on.
 func (req *requestState) takeStream() error {
--- a/waxfleet/waxforward/silence.go
+++ b/waxfleet/waxforward/silence.go
@@ -66,6 +66,8 @@
 	timer *time.Timer
 	// heardAt is the time of the last event with a new id, or of the sending.
 	heardAt waxfleet.Millis
+	// paused is true while this instance, not the server, delays the response.
+	paused bool
 	// logged is true once the current silence was logged.
 	logged bool
 	// successor is the state in which the request goes to another server, or went to the last
@@ -154,6 +156,24 @@
 	}
 }
 
+// pause lets no server take over until resume is called, because this instance reads nothing.
+func (w *silenceWatch) pause() {
+	if w != nil {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.paused = true
+	}
+}
+
+// resume ends a pause. The silence of the server begins anew.
+func (w *silenceWatch) resume() {
+	if w != nil {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.paused, w.heardAt = false, w.f.opts.Clock.Now()
+	}
+}
+
 // check looks whether the server is silent, and for another one if it is.
 func (w *silenceWatch) check() {
 	w.mu.Lock()
@@ -182,6 +202,8 @@
 	heardAt := w.heardAt
 	silent := w.f.opts.Clock.Now() - heardAt
 	switch {
+	case w.paused:
+		return w.gap
 	case silent < w.gap:
 		return w.gap - silent
 	case w.takeOver != nil:
@@ -192,7 +214,7 @@
 		w.mu.Unlock()
 		reachable = w.f.reachable(w.ctx, w.state)
 		w.mu.Lock()
-		if w.phase != phaseEvents || w.heardAt != heardAt {
+		if w.phase != phaseEvents || w.heardAt != heardAt || w.paused {
 			return w.gap
 		}
 	}
--- a/waxfleet/waxintake/accounts_test.go
+++ b/waxfleet/waxintake/accounts_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bytes"
+	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/datadriven"
 	"github.com/matryer/is"
@@ -14,6 +17,9 @@
 	"waxwingdrift.org/waxfleet"
 )
 
+// reserveTimeout is the time after which a reservation that waits is given up.
+const reserveTimeout = 20 * time.Millisecond
+
 // accountScript plays connections without a network, on a manual clock.
 type accountScript struct {
 	t     *testing.T
@@ -22,6 +28,8 @@
 	log   bytes.Buffer
 	names []string
 	conns map[string]*Conn
+	// buffers give back what connections have reserved.
+	buffers map[string]func()
 }
 
 // TestAccounts guards against callers that make the process hold more than its budgets,
@@ -60,6 +68,11 @@
 		return s.result(c.Begin(d.HasArg("body")))
 	case "body":
 		return s.result(c.charge(int64(n)))
+	case "reserve":
+		return s.reserve(name, int64(n))
+	case "unreserve":
+		s.buffers[name]()
+		return s.state()
 	case "whole":
 		return s.result(c.Whole())
 	case "deadline":
@@ -91,6 +104,7 @@
 	d.MaybeScanArgs(s.t, "memory", &memory)
 	d.MaybeScanArgs(s.t, "files", &files)
 	s.clock, s.conns, s.names = waxfleet.NewManualClock(0), map[string]*Conn{}, nil
+	s.buffers = map[string]func(){}
 	s.in = New(Options{
 		MemoryBytes: int64(memory), MaxOpenFiles: files, Clock: s.clock,
 		Log: slog.New(slog.NewTextHandler(&s.log, &slog.HandlerOptions{ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
@@ -116,6 +130,18 @@
 	return s.state()
 }
 
+// reserve reserves a buffer, or tells that it would wait.
+func (s *accountScript) reserve(name string, n int64) string {
+	ctx, cancel := context.WithTimeout(s.t.Context(), reserveTimeout)
+	defer cancel()
+	release, err := s.conns[name].ReserveBuffer(ctx, n)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return "waits\n" + s.state()
+	}
+	s.buffers[name] = release
+	return s.result(err)
+}
+
 // result returns the error, if any, and the state.
 func (s *accountScript) result(err error) string {
 	if err != nil {
--- a/waxfleet/waxintake/conn.go
+++ b/waxfleet/waxintake/conn.go
@@ -216,6 +216,30 @@
 	return c.intake.charge(c, n)
 }
 
+// ReserveBuffer waits for n bytes of memory for a part of the response, which counts for the
+// current request until release is called. It waits rather than fails because the request
+// is under way; ctx ends the wait. A request that waits must not hold another buffer.
+func (c *Conn) ReserveBuffer(ctx context.Context, n int64) (release func(), err error) {
+	if c == nil {
+		return func() {}, nil
+	}
+	in := c.intake
+	// A process that is too small for one buffer holds one at a time.
+	n = min(n, in.bufferBudget())
+	if err := in.buffers.Acquire(ctx, n); err != nil {
+		return nil, fmt.Errorf("wait for memory for a response: %w", err)
+	}
+	in.memory.used.Add(n)
+	if !c.hold(n) {
+		in.memory.used.Add(-n)
+		return func() { in.buffers.Release(n) }, nil
+	}
+	return func() {
+		c.release(n)
+		in.buffers.Release(n)
+	}, nil
+}
+
 // release gives back n bytes of the current request, or what it holds if that is less.
 func (c *Conn) release(n int64) {
 	if c == nil {
--- a/waxfleet/waxintake/intake.go
+++ b/waxfleet/waxintake/intake.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"waxwingdrift.org/waxfleet"
 )
 
@@ -19,6 +21,9 @@
 	// memoryShare is the part of the process's memory for what callers make it hold. Garbage
 	// counts until it is collected, and the idle process needs its part.
 	memoryShare = 0.25
+	// bufferShare is the part of that memory for buffers of responses that ReserveBuffer
+	// gives out. Callers that read nothing may hold all of it.
+	bufferShare = 0.5
 	// fileDescriptors is the number of descriptors that the platform reserves for files.
 	fileDescriptors = 200
 	// ownDescriptors is the number of descriptors for the store, readiness probes, metrics
@@ -62,7 +67,9 @@
 	opts        Options
 	memory      account
 	connections account
-	lingering   chan struct{}
+	// buffers gives out the memory for buffers of responses.
+	buffers   *semaphore.Weighted
+	lingering chan struct{}
 	// closed signals that a connection was closed.
 	closed chan struct{}
 
@@ -80,6 +87,7 @@
 		lingering: make(chan struct{}, maxLingering), closed: make(chan struct{}, 1),
 	}
 	in.memory.name, in.memory.budget = "memory", memoryBudget(opts.MemoryBytes)
+	in.buffers = semaphore.NewWeighted(in.bufferBudget())
 	in.connections.name, in.connections.budget = "connections", BackendConnections(opts.MaxOpenFiles)
 	in.memory.loggedAt, in.connections.loggedAt = -logInterval, -logInterval
 	return in
@@ -93,6 +101,14 @@
 	return int64(float64(memory) * memoryShare)
 }
 
+// bufferBudget returns the bytes for buffers of responses.
+func (in *Intake) bufferBudget() int64 {
+	if in.memory.budget == math.MaxInt64 {
+		return math.MaxInt64
+	}
+	return max(int64(float64(in.memory.budget)*bufferShare), 1)
+}
+
 // BackendConnections returns the number of connections to backend servers that a process with a
 // maximum number of descriptors may keep open, which is also that of connections of callers. The
 // limit of the operating system prevails if it is lower.
